SIGHUP reloads; bad and silent clients are turned away in time

Checked in the logs: "Too many open files" at 10, 15 and 20 s, so the backlog waited on silent connections; CPU (0.34 s in the worst second) and memory (30 of 80 MB) were ruled out as the cause.

At fault - Lifecycle.run: no SIGHUP handler. Now Lifecycle.reload; Directory drops its calls at the old address, fetches the whole list at the new one, retrying every 0.2 s, and watches there. - consumer.FIRST_LINE_TIME was 30 s and began anew with each read. Now 2 s for the whole line. - Lifecycle._take_some counted client connections only, not calls, and stopped accepting when full. Now Peer.held counts sockets, and the Doorstep bounds connections without a first line, oldest shed first. - Consumer passed all that came with the first line on to the provider after UP. More than one line at once, or words before the answer, are now an error, and no provider sees them. - A newcomer with an open id sent ClientGone under that id, which ended its owner's request in the module.

--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import sys
+from functools import partial
 
 import click
 import structlog
@@ -54,11 +55,11 @@
 @main.command()
 @config_option
 def serve(path: str | None) -> None:
-    """Run the proxy until SIGTERM."""
+    """Run the proxy until SIGTERM. SIGHUP has it read its configuration again."""
     config = _load(path)
     set_up_logging()
     try:
-        serve_forever(config)
+        serve_forever(config, partial(load_config, path, os.environ, again=True))
     except OSError as wrong:
         host, port = config.listen
         click.echo(f"saltcourse: 'listen': cannot listen on {host}:{port}: {wrong.strerror}", err=True)
--- a/saltcourse/config.py
+++ b/saltcourse/config.py
@@ -1,8 +1,9 @@
 """The one place where the program's configuration is read, checked and given its defaults.
 
 A file of JSON (``--config`` or EDGE_CONFIG) tells all; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY
-override it, so that one file can serve several proxies. Whatever is wrong raises ``ConfigError``,
-which names the key.
+override it, so that one file can serve several proxies. When the file is read again, in a running
+program, it is newer than the environment and its ``discovery`` wins. Whatever is wrong raises
+``ConfigError``, which names the key.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 
 DEFAULT_LISTEN = "127.0.0.1:8081"
 DEFAULT_SOCKETS, DEFAULT_MEMORY_MB, DEFAULT_CORES = 4096, 2048, 1.0
+NEED_RESTART = ("name", "listen", "seed", "settings")  # keys that a reload leaves as they are
 FEWEST_SOCKETS = 64  # under this not even one client could be served beside what the program holds
 
 
@@ -87,12 +89,14 @@
         raise ConfigError(f"'seed': must be hexadecimal digits, not {value!r}") from None
 
 
-def read_config(values: Any, environment: Mapping[str, str]) -> Config:
-    """Check a configuration as parsed from JSON."""
+def read_config(values: Any, environment: Mapping[str, str], again: bool = False) -> Config:
+    """Check a configuration as parsed from JSON; ``again`` when the program runs already."""
     if not isinstance(values, dict):
         raise ConfigError("the configuration must be a JSON object")
     told = {key: environment.get(f"EDGE_{key.upper()}") or values.get(key)
             for key in ("name", "listen", "discovery")}
+    if again:
+        told["discovery"] = values.get("discovery") or told["discovery"]
     settings = _object(values.get("settings"), "settings")
     if not settings:
         raise ConfigError("'settings': missing")
@@ -113,7 +117,7 @@
     )
 
 
-def load_config(path: str | None, environment: Mapping[str, str]) -> Config:
+def load_config(path: str | None, environment: Mapping[str, str], again: bool = False) -> Config:
     """The configuration from the file at ``path``, or else from the one that EDGE_CONFIG names."""
     path = path or environment.get("EDGE_CONFIG")
     if not path:
@@ -126,4 +130,4 @@
         values = orjson.loads(text)
     except orjson.JSONDecodeError as wrong:
         raise ConfigError(f"{path}: not JSON: {wrong}") from None
-    return read_config(values, environment)
+    return read_config(values, environment, again)
--- a/saltcourse/net/consumer.py
+++ b/saltcourse/net/consumer.py
@@ -18,16 +18,20 @@
 from saltcourse.net.clock import Clock
 from saltcourse.net.invoker import InvokerCall
 from saltcourse.net.messages import (
-    Arrived, CallEnded, CallUp, ClientEnded, Left, LineBack, LineSent, Overdue, Place, Resumed, Retract,
+    Arrived, CallEnded, CallUp, ClientEnded, Forfeit, Left, LineBack, LineSent, Place, Resumed, Retract,
     ToDecider, ToInvocation,
 )
-from saltcourse.net.stream import Peer, PeerReset, part, write_within
+from saltcourse.net.doorstep import Doorstep
+from saltcourse.net.stream import Peer, PeerReset, dismiss, part, write_within
 from saltcourse.wire.lines import (
     FAIL_LINE, MOVE_LINE, PING, PONG_LINE, BadLine, OpenLine, busy_line, load_of, read_open, word_of,
 )
 from saltcourse.wire.members import Address
 
-FIRST_LINE_TIME = 30.0  # s that a connection may stay without a first line, or between two PINGs
+FIRST_LINE_TIME = 2.0  # s for a whole first line, however it trickles in; clients send it at once
+PING_TIME = 30.0  # s that a connection which was only pinged on may rest between two PINGs
+DISMISS_TIME, DISMISS_BYTES = 0.3, 64 * 1024  # what is read of a client after it was turned away unheard
+TELL_EVERY = 5.0  # s between log lines on bad first lines, for they come in floods
 PART_TIME = 0.5  # s that a side may take to end after the other; a second is allowed
 MOVE_TIME = 0.5  # s for MOVE to be taken by the client's socket, and again for the client to leave
 OVERDUE = 0.015  # s after its time is up at which an invocation without an answer is failed here
@@ -51,11 +55,30 @@
 
     def __init__(self, settings: lg.Settings, clock: Clock, tell_decider: Callable[[ToDecider], None],
                  address_of: Callable[[str], Address | None], may_answer_ping: Callable[[], bool],
-                 short: Callable[[], bool]) -> None:
+                 short: Callable[[], bool], doorstep: Doorstep) -> None:
         self.settings, self.clock = settings, clock
         self.tell_decider, self.address_of = tell_decider, address_of
-        self.may_answer_ping, self.short = may_answer_ping, short
+        self.may_answer_ping, self.short, self.doorstep = may_answer_ping, short, doorstep
         self.classes = frozenset(c.name for c in settings.classes)
+        self._open: set[str] = set()  # ids of the invocations that are under way or stand
+        self._bad, self._told = 0, -TELL_EVERY
+
+    def claim(self, request: str) -> None:
+        """Ids are new with every connection: whoever uses one that is open must not touch its owner."""
+        if request in self._open:
+            raise BadLine("OPEN: an id that is open")
+        self._open.add(request)
+
+    def release(self, request: str) -> None:
+        self._open.discard(request)
+
+    def bad_line(self, reason: str) -> None:
+        """Counted each time, logged now and then."""
+        self._bad += 1
+        now = self.clock.now()
+        if now - self._told >= TELL_EVERY:
+            log.info("bad lines from clients", count=self._bad, last=reason)
+            self._bad, self._told = 0, now
 
 
 class Consumer(Actor[ToInvocation]):
@@ -91,7 +114,9 @@
             message = self.mailbox.get_nowait()
             if isinstance(message, Place):
                 self._never_sent(message)
+        self.host.doorstep.left(self)
         if self.request:
+            self.host.release(self.request)
             self.host.tell_decider(Left(self, self.request))
 
     def _never_sent(self, place: Place) -> None:
@@ -107,26 +132,29 @@
     # ---- life -----------------------------------------------------------------------------------
 
     async def run(self) -> None:
+        self.host.doorstep.came(self)
         try:
             self.opened = await self._first_line()
         except BadLine as wrong:
-            log.info("bad first line", reason=str(wrong))
-            await self._refuse_line(FAIL_LINE)
+            self.host.bad_line(str(wrong))
+            self.host.doorstep.left(self)
+            await dismiss(self.peer, FAIL_LINE, DISMISS_TIME, DISMISS_BYTES)
             return
         except (PeerReset, TimeoutError):
             return
         if self.opened is None:
             return
+        self.host.doorstep.left(self)
         if self.host.short():
-            await self._refuse_line(busy_line(self.host.settings.max_retry_after))
+            busy = busy_line(self.host.settings.max_retry_after)
+            await dismiss(self.peer, busy, DISMISS_TIME, DISMISS_BYTES)
             return
-        self.request = self.opened.request
         wait = min(self.opened.wait, RESUME_TIME) if self.opened.at else self.opened.wait
         self.deadline = self.host.clock.now() + wait
         self.stage = Stage.WAITING
         self._reader = spawn(self._read_client(), "consumer's reader")
         loop = asyncio.get_running_loop()
-        guard = loop.call_later(wait + OVERDUE, self.tell, Overdue())
+        guard = loop.call_later(wait + OVERDUE, self.tell, Forfeit("no answer in time"))
         try:
             if self.opened.at:
                 self._resume(self.opened)
@@ -140,29 +168,39 @@
 
     async def _first_line(self) -> OpenLine | None:
         """The OPEN line; the front's PINGs before it are answered. None when the client has left."""
-        while True:
-            async with asyncio.timeout(FIRST_LINE_TIME):
-                while (line := self.peer.buffer.line()) is None:
-                    if not await self.peer.fill():
-                        return None
-            if word_of(line) != PING:
-                break
+        while (line := await self._line_in_time()) is not None and word_of(line) == PING:
             if not self.host.may_answer_ping():
                 return None
             await self.peer.write(PONG_LINE)
-        try:
-            opened = read_open(line)
-        except BadLine as wrong:
-            raise BadLine(f"{wrong}: {bytes(line[:200])!r}") from None
+            self.host.doorstep.came(self)
+            if not self.peer.buffer.pending:
+                async with asyncio.timeout(PING_TIME):
+                    if not await self.peer.fill():
+                        return None
+        if line is None:
+            return None
+        opened = read_open(line)
         if opened.klass not in self.host.classes:
-            raise BadLine(f"OPEN: class '{opened.klass[:40]}' is not in the settings")
+            raise BadLine("OPEN: a class that is not in the settings")
+        if self.peer.buffer.pending:
+            # The client has to wait for its answer. Of many commands at once no provider may see the others,
+            # and to serve the first alone would look to the client as if one of those had run.
+            raise BadLine("OPEN: more than one line at once")
+        self.host.claim(opened.request)
+        self.request = opened.request
         return opened
 
-    async def _refuse_line(self, line: bytes) -> None:
-        """Answer without the module, and discard what else comes so that the answer is not lost."""
-        await write_within(self.peer, line, MOVE_TIME)
-        self._released.set()
-        await part(self.peer, spawn(self._read_client(), "consumer's reader"), PART_TIME)
+    async def _line_in_time(self) -> memoryview | None:
+        """The time counts for the whole line: one that trickles in holds its place no longer than silence."""
+        async with asyncio.timeout(FIRST_LINE_TIME):
+            while (line := self.peer.buffer.line()) is None:
+                if not await self.peer.fill():
+                    return None
+        return line
+
+    def shed(self) -> None:
+        """Others need its place and it has said nothing; its own coroutine sees the end."""
+        self.peer.close()
 
     @staticmethod
     def _event(opened: OpenLine) -> lg.NewRequest:
@@ -175,8 +213,9 @@
         reset = False
         try:
             while True:
-                # A client may have spoken in the same breath as its first line.
                 if self.peer.buffer.pending:
+                    if self.stage is Stage.WAITING and self.opened is not None and not self.opened.at:
+                        self.tell(Forfeit("the client did not wait for its answer"))
                     await self._released.wait()
                 while (line := self.peer.buffer.line()) is not None:
                     await self._to_provider(line)
@@ -224,8 +263,8 @@
             case Retract(attempt) if self.stage is Stage.WAITING and self._owed is not None:
                 if self._owed.attempt == attempt and self.call is not None:
                     self.call.close()
-            case Overdue() if self.stage is Stage.WAITING:
-                log.warning("no answer in time from the module", request=self.request)
+            case Forfeit(reason) if self.stage is Stage.WAITING:
+                log.info("failed without the module", request=self.request, reason=reason)
                 self.host.tell_decider(lg.ClientGone(self.request))
                 await self._answer(FAIL_LINE)
 
--- a/saltcourse/net/directory.py
+++ b/saltcourse/net/directory.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
 
 import structlog
 from tornado.iostream import IOStream, StreamClosedError
@@ -19,12 +21,21 @@
 WATCH_TIME = 10.0  # s that one call of a watch may wait for news
 CALL_TIME = 3.5  # s beyond that for an answer: discovery gives up a call that has waited 3 s for its turn
 SOON = 0.1  # s; a watch goes on when the next call comes within 0.2 s of an answer
+FIRST_CALL_TIME = 1.2  # s for the first answer at a new address, doubling: the list is owed within 4 s
+CALL_AGAIN = 0.2  # s between calls at a new address while none has been answered
 CHUNK = 16 * 1024
 
 log = structlog.get_logger("saltcourse")
 
 
-class Directory(Actor[lg.Watch | lg.FetchList]):
+@dataclass(slots=True)
+class Relocate:
+    """Discovery is at another address from now on."""
+
+    address: Address
+
+
+class Directory(Actor[lg.Watch | lg.FetchList | Relocate]):
     """Calls run beside the mailbox, so that the whole list can be asked for during a watch."""
 
     def __init__(self, address: Address, version: int, told: Callable[[Listed], None]) -> None:
@@ -32,17 +43,43 @@
         self._address, self._told = address, told
         self._version = version
         self._watching = False
+        self._calls: set[asyncio.Task[None]] = set()  # at the present address
 
     async def run(self) -> None:
         while True:
             asked = await self.mailbox.get()
-            if isinstance(asked, lg.FetchList):
-                spawn(self._fetch(), "list call")
+            if isinstance(asked, Relocate):
+                self._relocate(asked.address)
+            elif isinstance(asked, lg.FetchList):
+                self._begin(self._fetch(), "list call")
             elif self._watching:  # a call is out already, and news will come by it
                 self._told(Listed(lg.ListKind.CHANGED, Listing(self._version, False, (), {})))
             else:
                 self._watching = True
-                spawn(self._watch(), "watch")
+                self._begin(self._watch(), "watch")
+
+    def _begin(self, calls: Coroutine[Any, Any, None], what: str) -> None:
+        task = spawn(calls, what)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    def _relocate(self, address: Address) -> None:
+        """What the old address might still answer is not waited for: it may be late, and would undo what
+        the new one has told."""
+        for task in self._calls:
+            task.cancel()
+        self._address = address
+        self._watching = True
+        self._begin(self._settle(), "watch at a new address")
+
+    async def _settle(self) -> None:
+        """At a new address nothing is known of its versions, so the whole list comes first."""
+        patience = FIRST_CALL_TIME
+        while (listing := await self._call(PATH, 0.0, min(patience, CALL_TIME))) is None:
+            patience *= 2
+            await asyncio.sleep(CALL_AGAIN)
+        self._tell(listing)
+        await self._watch()
 
     async def _fetch(self) -> None:
         listing = await self._call(PATH, 0.0)
@@ -55,19 +92,17 @@
         """Each call follows the last answer at once; the first failure ends the watch, and the module
         says when to begin another."""
         loop = asyncio.get_running_loop()
-        try:
-            while True:
-                begun = loop.time()
-                target = f"{PATH}?after={self._version}&wait_ms={round(WATCH_TIME * 1000)}"
-                listing = await self._call(target, WATCH_TIME)
-                if listing is None:
-                    return
-                self._tell(listing)
-                if not listing.members and loop.time() - begun < SOON:
-                    await asyncio.sleep(SOON)  # a service that does not wait must not be called in a spin
-        finally:
-            self._watching = False
-            self._told(Listed(lg.ListKind.UNAVAILABLE))
+        while True:
+            begun = loop.time()
+            target = f"{PATH}?after={self._version}&wait_ms={round(WATCH_TIME * 1000)}"
+            listing = await self._call(target, WATCH_TIME)
+            if listing is None:
+                break
+            self._tell(listing)
+            if not listing.members and loop.time() - begun < SOON:
+                await asyncio.sleep(SOON)  # a service that does not wait must not be called in a spin
+        self._watching = False
+        self._told(Listed(lg.ListKind.UNAVAILABLE))
 
     def _tell(self, listing: Listing) -> None:
         """A list older than the one that is held (calls may cross) has nothing to tell."""
@@ -76,9 +111,9 @@
         self._version = listing.version
         self._told(Listed(lg.ListKind.WHOLE if listing.full else lg.ListKind.CHANGED, listing))
 
-    async def _call(self, target: str, wait: float) -> Listing | None:
+    async def _call(self, target: str, wait: float, patience: float = CALL_TIME) -> Listing | None:
         try:
-            async with asyncio.timeout(wait + CALL_TIME):
+            async with asyncio.timeout(wait + patience):
                 answer = await self._get(target)
             if answer.status != 200:
                 raise BadList(f"status {answer.status}")
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -7,25 +7,28 @@
 import os
 import signal
 import socket
+from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from functools import partial
 
 import structlog
 
-from saltcourse.config import Config
+from saltcourse.config import NEED_RESTART, Config, ConfigError
 from saltcourse.net.clock import Clock
 from saltcourse.net.consumer import Consumer, Host
 from saltcourse.net.decider import Decider
-from saltcourse.net.directory import Directory
+from saltcourse.net.directory import Directory, Relocate
+from saltcourse.net.doorstep import Doorstep
 from saltcourse.net.invoker import SHORT
 from saltcourse.net.messages import MoveAll
 from saltcourse.net.stream import Peer
 
 BACKLOG = 1024  # connections that wait to be taken: most clients may come back in the same second
-TAKEN_AT_ONCE = 64  # before other work has its turn
+TAKEN_AT_ONCE = 32  # before other work has its turn
 STILL_TAKING = 0.5  # s after SIGTERM for which the front may go on sending clients
 LEAST_DEADLINE, KILL_MARGIN = 3.0, 0.35  # s; SIGKILL comes 0.7 s after the longest deadline
-OWN_SOCKETS = 32  # descriptors for the list, the loop, probes and what the interpreter holds
+OWN_SOCKETS = 24  # descriptors for the list, the loop, probes and what the interpreter holds
 WARN_EVERY = 5.0  # s between warnings of the same shortage
 PAUSE = 0.05  # s without taking connections when there is no descriptor for another
 
@@ -41,15 +44,18 @@
 
 
 class Lifecycle:
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    """``reread`` reads the configuration anew when SIGHUP asks for it; without it SIGHUP changes nothing."""
+
+    def __init__(self, config: Config, reread: Callable[[], Config] | None = None) -> None:
+        self.config, self._reread = config, reread
         self.phase = Phase.STARTING
         self.clock = Clock()
         self.directory = Directory(config.discovery, config.known.version, lambda m: self.decider.tell(m))
         self.decider = Decider(config.settings, config.seed, self.clock, config.known, self.directory.tell,
                                config.tells_delay)
+        self.doorstep = Doorstep(config.limits.sockets - OWN_SOCKETS)
         self.host = Host(config.settings, self.clock, self.decider.tell, self.decider.addresses.get,
-                         self._may_answer_ping, self._short)
+                         self._may_answer_ping, self._short, self.doorstep)
         self.consumers: set[Consumer] = set()
         self.leave = asyncio.Event()
         self._listener: socket.socket | None = None
@@ -60,14 +66,39 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.leave.set)
+        # Not by the loop's own handlers: those go with the loop, and a SIGHUP in the program's last moments
+        # would then end it as one that was never handled.
+        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
         self.decider.start()
         self.directory.start()
         self._listener = self._listen()
         self._enter(Phase.SERVING)
         await self.leave.wait()
         await self._drain()
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self._enter(Phase.STOPPED)
 
+    def reload(self) -> None:
+        """Take over what a changed configuration file says; whatever stands is left as it is.
+
+        The same in every phase: also a program that drains has to hear of its providers.
+        """
+        if self._reread is None:
+            return
+        try:
+            new = self._reread()
+        except ConfigError as wrong:
+            log.error("the old configuration is kept", reason=str(wrong))
+            return
+        old, self.config = self.config, replace(self.config, discovery=new.discovery, limits=new.limits)
+        later = [key for key in NEED_RESTART if getattr(new, key) != getattr(old, key)]
+        if later:
+            log.warning("changed keys that a restart will read", keys=",".join(later))
+        self.doorstep.sockets = new.limits.sockets - OWN_SOCKETS
+        log.info("reloaded", discovery="{}:{}".format(*new.discovery), sockets=new.limits.sockets)
+        if new.discovery != old.discovery:
+            self.directory.tell(Relocate(new.discovery))
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         longest = max([LEAST_DEADLINE] + [c.deadline for c in self.config.settings.classes])
@@ -119,7 +150,8 @@
         for _ in range(most):
             if self._listener is None:
                 return
-            if len(self.consumers) + OWN_SOCKETS >= self.config.limits.sockets:
+            self.doorstep.make_room(Peer.held)
+            if Peer.held + OWN_SOCKETS >= self.config.limits.sockets:
                 self._pause("too many connections")
                 return
             try:
@@ -162,9 +194,9 @@
         return held + 1 + OWN_SOCKETS > self.config.limits.sockets
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, reread: Callable[[], Config] | None = None) -> None:
     """Run the program; OSError when it cannot listen."""
-    asyncio.run(Lifecycle(config).run())
+    asyncio.run(Lifecycle(config, reread).run())
 
 
 __all__ = ["Lifecycle", "Phase", "serve"]
--- a/saltcourse/net/messages.py
+++ b/saltcourse/net/messages.py
@@ -29,8 +29,10 @@
 
 
 @dataclass(slots=True)
-class Overdue:
-    """The client's time is up and nothing has answered it."""
+class Forfeit:
+    """No answer of the module is to be waited for: the client's time is up, or it broke the protocol."""
+
+    reason: str
 
 
 @dataclass(slots=True)
@@ -56,7 +58,7 @@
 
 
 ToInvocation = (
-    Place | Retract | Overdue | ClientEnded | CallUp | CallEnded | lg.Refuse | lg.Fail | lg.Move
+    Place | Retract | Forfeit | ClientEnded | CallUp | CallEnded | lg.Refuse | lg.Fail | lg.Move
 )
 
 
--- a/saltcourse/net/stream.py
+++ b/saltcourse/net/stream.py
@@ -53,12 +53,15 @@
 class Peer:
     """A socket and the buffer that it is read into. One coroutine reads; any may write."""
 
+    held = 0  # sockets that all peers of this process hold now
+
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # lines are small and wanted at once
         self.buffer = LineBuffer()
         self._closed = False
         self._stream = self._wrap(sock)
+        Peer.held += 1
 
     @staticmethod
     def _wrap(sock: socket.socket) -> _HalfStream:
@@ -129,6 +132,7 @@
         self.close()
 
     def close(self) -> None:
+        Peer.held -= not self._closed
         self._closed = True
         stream = self._stream
         stream.close()
@@ -149,6 +153,21 @@
     peer.close()
 
 
+async def dismiss(peer: Peer, line: bytes, seconds: float, most: int) -> None:
+    """Tell a peer that is not served why, and close on it soon, whatever it goes on sending.
+
+    A little of that is discarded first, so that the reset which answers the rest comes after the line.
+    """
+    with contextlib.suppress(PeerReset, TimeoutError):
+        async with asyncio.timeout(seconds):
+            await peer.write(line)
+            peer.finish()
+            peer.buffer.rest()
+            while most > 0 and await peer.fill():
+                most -= len(peer.buffer.rest())
+    peer.close()
+
+
 async def write_within(peer: Peer, data: bytes, seconds: float) -> bool:
     """Write a last line to a peer that may not read; False if it could not be written in time."""
     try:
--- a/saltcourse/wire/lines.py
+++ b/saltcourse/wire/lines.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 LONGEST_LINE = 4096  # bytes, CRLF included
-LONGEST_WAIT_MS = 86_400_000  # no client waits a day for UP: a larger `d` is a mistake
+LONGEST_WAIT_MS = 60_000  # no client waits longer than a minute for UP: a larger `d` is a mistake,
+LONGEST_RESUME_MS = 86_400_000  # but on a connection from before the start, which may come at its leisure
 END = b"\r\n"
 PING, PONG, STATS, NO = b"PING", b"PONG", b"STATS", b"NO"
 MOVE_LINE, FAIL_LINE, PONG_LINE = b"MOVE\r\n", b"ERR\r\n", b"PONG\r\n"
@@ -92,12 +93,14 @@
 def read_open(line: memoryview) -> OpenLine:
     """Parse a whole OPEN line; it is copied, for it is sent on with every attempt."""
     raw = bytes(line)
+    if not raw.startswith(b"OPEN "):  # what floods in is mostly no OPEN line at all
+        raise BadLine("not an OPEN line")
     try:
         text = raw.decode()
     except UnicodeDecodeError:
         raise BadLine("a line that is not UTF-8") from None
     words = text[:-2].split(" ")
-    if len(words) != 4 or words[0] != "OPEN" or not all(words):
+    if len(words) != 4 or not all(words):
         raise BadLine("not an OPEN line of four words")
     values: dict[str, str] = {}
     for pair in words[3].split(","):
@@ -106,7 +109,8 @@
             raise BadLine(f"OPEN: '{name[:20]}' has no value or stands twice")
         values[name] = value
     wait = values.get("d", "")
-    if not (wait.isascii() and wait.isdigit()) or not 0 < int(wait[:12]) <= LONGEST_WAIT_MS:
+    longest = LONGEST_RESUME_MS if values.get("at") else LONGEST_WAIT_MS
+    if not (wait.isascii() and wait.isdigit()) or len(wait) > 12 or not 0 < int(wait) <= longest:
         raise BadLine("OPEN: 'd' is not a sound number of milliseconds")
     if "c" not in values:
         raise BadLine("OPEN: no 'c'")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -8,7 +8,7 @@
 from structlog.testing import capture_logs
 
 from saltcourse import delay
-from saltcourse.net import lifecycle
+from saltcourse.net import consumer, lifecycle
 from tests.player import Player, sections
 
 SECTIONS = sections()
@@ -18,6 +18,8 @@
 def test_exchange(title: str, monkeypatch: pytest.MonkeyPatch) -> None:
     if "nothing back" in title:
         monkeypatch.setattr(delay, "SILENT_AFTER", 0.1)
+    if "in time" in title:
+        monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
     if "SIGTERM" not in title:
         monkeypatch.setattr(lifecycle, "STILL_TAKING", 0.0)
 
