Module: groups stay together, fresh nodes take crowds, drains are seen off

Seen there, at fault, and changed: - After a restart the new proxy refused 139, 301, 199 and 90 clients a second though storm was false and retries were left: every ceiling began at FEW_SLOTS. _refresh now begins at this node's share of the tenants' quotas of connections, and _raise counts from the occupancy. - 14 connections counted as 46 slots: _slot took the first load told as the measure, and forgot it by a hundredth a note.

--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -23,6 +24,7 @@
 from saltcourse.wire.members import Address, Listing
 
 LOOK_EVERY = 0.25  # s between looks for connections that bring nothing back
+SUM_EVERY = 5.0  # s between log lines that sum up what is held and believed of each provider
 
 log = structlog.get_logger("saltcourse")
 
@@ -51,6 +53,9 @@
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self._meter = DelayMeter(min(aims) / 3 if aims and tells_delay else float("inf"))
         self._noted = 0.0
+        # Since the last sum: (provider, status) of each outcome, and ("", action) of each answer and move.
+        self._ended_how: Counter[tuple[str, str]] = Counter()
+        self._summed = clock.now()
         self._balancer = Balancer(settings, seed)
 
     async def run(self) -> None:
@@ -100,6 +105,8 @@
             case lg.Outcome():
                 if message.final:
                     self._ended(message.request)
+                if message.request in self._sends:
+                    self._ended_how[self._sends[message.request][1], message.status.value] += 1
                 self._handle(message)
             case _:
                 self._handle(message)
@@ -142,8 +149,31 @@
             self._noted = now
             for request, delay in self._meter.notes(now):
                 self._handle(lg.DelayNote(request, delay))
+        if now - self._summed >= SUM_EVERY:
+            self._summed = now
+            self._sum_up(now)
         asyncio.get_running_loop().call_later(LOOK_EVERY, self._look)
 
+    def _sum_up(self, now: float) -> None:
+        """For whoever asks why connections went where they went: connections that stand there, the module's
+        occupancy over its ceiling, why nothing new goes there, and how attempts and connections ended."""
+        held = Counter(c.server for c in self.standing.values())
+        for server in self._balancer.servers.values():
+            why = [word for word, so in (
+                (server.state.value, server.state is not lg.ServerState.READY),
+                ("down", server.down_until > now), ("trial", server.trial),
+                ("unclean", server.unclean_until > now),
+                ("slow", server.slow_until > now), ("cold", server.next_send > now)) if so]
+            ended = {how: n for (name, how), n in sorted(self._ended_how.items()) if name == server.id}
+            if server.state is lg.ServerState.GONE and not held[server.id] and not ended:
+                continue
+            log.info("provider", id=server.id, standing=held[server.id],
+                     occupancy=f"{server.load:.1f}/{server.ceiling:.1f}", limits=",".join(why), **ended)
+        said = {what: n for (name, what), n in sorted(self._ended_how.items()) if not name}
+        log.info("sum", invocations=len(self.invocations), standing=len(self.standing),
+                 storm=self._balancer.failed > self._balancer.stood, **said)
+        self._ended_how.clear()
+
     # ---- the module -----------------------------------------------------------------------------
 
     def _handle(self, event: lg.Event) -> None:
@@ -181,8 +211,10 @@
                 case lg.Send():
                     self._send(action)
                 case lg.Refuse() | lg.Fail():
+                    self._ended_how["", type(action).__name__.lower()] += 1
                     self._tell(action.request, action)
                 case lg.Move():
+                    self._ended_how["", "move"] += 1
                     self._move(action.request)
                 case lg.Cancel():
                     invocation = self.invocations.get(action.request)
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -48,6 +48,11 @@
 STORM_MEMORY = 5.0  # s in which a node forgets how its attempts went
 STORM_DROP = 3.0  # s under which a dropped connection counts as an attempt that failed
 STORM_SLACK = 4.0  # failures more than successes that are bad luck and no storm
+GROUP_SLOTS = 3.0  # mean connection loads that a group costs at each server that holds any of it
+ERROR_GAIN = 0.2  # of each answer in a server's share of errors
+ERRS = 0.3  # share of errors over which a server is tried by one connection at a time
+NO_STORM = (Status.CANCELLED, Status.NOT_SENT, Status.ERROR)  # endings that no jam of set-ups causes
+LOADS_MEANT = 100  # told loads over which the load of one slot is a mean
 LAST_TRY = 0.1  # s of a request's time under which another attempt is not worth sending
 PICK_TRIES = 60  # uniform draws before the exact scan; each is accepted with room over largest room
 LOOK = 3  # servers asked for their load before a placement, where probes tell it
@@ -65,13 +70,14 @@
     __slots__ = ("id", "zone", "kind", "cell", "weight", "started", "state", "load", "count", "ceiling",
                  "limit", "size", "unclean_until", "failures", "down_until", "trial", "report_load",
                  "report_at", "probing", "next_send", "strains", "asking", "near", "slow_until",
-                 "cut_at", "slots", "held")
+                 "cut_at", "slots", "held", "errors", "groups")
 
     def __init__(self, member: Member) -> None:
         self.id = member.server
         self.load = 0.0  # occupancy: load of this node's connections there
         self.count = 0
         self.held: dict[str, Request] = {}  # connections that stand there
+        self.groups: dict[str, int] = {}  # connections of each group, where a group has a cost of its own
         self.size = 1.0  # capacity over the fleet's mean
         self.slots = 1.0  # size by what a cold server can do now
         self.near = 1.0  # what a free slot counts here: 1 at home
@@ -89,6 +95,7 @@
         self.unclean_until = self.slow_until = self.down_until = self.next_send = 0.0
         self.cut_at = -1e9
         self.failures = self.strains = 0
+        self.errors = 0.0  # share of its late answers that were errors
         self.trial = False
         self.asking: list[Request] = []  # placements that wait for its probe
         self.report_load = -1.0
@@ -100,10 +107,10 @@
     """A request from its arrival to its final answer, or a connection to its end."""
 
     __slots__ = ("id", "klass", "deadline", "server", "attempts", "out", "begun", "answered", "load", "tried",
-                 "may_have_run", "ran_at", "waiting", "looks", "began")
+                 "may_have_run", "ran_at", "waiting", "looks", "began", "group")
 
-    def __init__(self, request: str, klass: RequestClass, deadline: float, load: float) -> None:
-        self.id, self.klass, self.deadline, self.load = request, klass, deadline, load
+    def __init__(self, request: str, klass: RequestClass, deadline: float, load: float, group: str) -> None:
+        self.id, self.klass, self.deadline, self.load, self.group = request, klass, deadline, load, group
         self.server: Server | None = None
         self.attempts = self.looks = 0
         self.out = self.begun = self.answered = False
@@ -123,6 +130,7 @@
         self.out: list[Action] = []
         self.classes = {c.name: c for c in settings.classes}
         self.servers: dict[str, Server] = {}
+        self.homes: dict[str, dict[str, Server]] = {}  # group -> servers that hold connections of it
         self.ready: list[Server] = []
         self.largest_room = 0.0
         self.scanned = -1.0  # when a scan of all servers found no room
@@ -134,12 +142,14 @@
         self.polled = False  # the last call to the list was for the whole of it, once
         self.usual_setup = 0.0  # s that a set-up takes, over all servers; 0 until one has been timed
         self.mean_load = 0.0  # load of one slot; 0 until a hint or note tells one
+        self.told_loads = 0
         self.strikes: dict[str, int] = {}  # silent failures in a row in each zone
         self.zone_down: dict[str, float] = {}
         self.failed = self.stood = 0.0  # attempts of late that failed or were dropped young; that stood
         self.retries = RETRY_BURST  # further attempts that may be sent now
         self.far_level = 0.0
         self.level = 0.0  # ceiling of a server of mean size of which nothing is learned
+        self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
         self.per_load = 0.0  # this node's slots for each whole server of reported load; 0 = not known
         self.mean_report = 0.5
         self.look = settings.reports_load and settings.may_probe
@@ -195,6 +205,9 @@
                 server.forget()
             if restarted or known is None:
                 self._greet(server)
+            if server.state is ServerState.DRAINING or (
+                    event.kind is ListKind.CHANGED and server.state is ServerState.GONE):
+                self._see_off(server)
         if changed:  # weights alone are read at the next tick
             self._refresh()
 
@@ -213,6 +226,12 @@
         wait = min(longest, 2.0 ** self.list_failures * 0.5) * (0.5 + self.random.random() / 2)
         self.out.append(SetTimer(wait, LIST_TOKEN))
 
+    def _see_off(self, server: Server) -> None:
+        """Clients are told to move while their server still stands: when it stops it cuts them off, and
+        those come back later. A whole list that merely leaves a server out does not prove it gone."""
+        for request in list(server.held.values()):
+            self._move(request)
+
     def _greet(self, server: Server) -> None:
         """Many nodes hear of a cold server at once; each sends its first connection at its own moment."""
         if self._warmth(server) < 1.0:
@@ -341,7 +360,10 @@
         for server in self.ready:
             server.slots = server.size if server.started <= 0 else server.size * self._warmth(server)
         # Home and other zones fill apart: this node sends mostly home.
-        self.level = self._level(self.level, [s for s in self.ready if s.near == 1.0])
+        home = [s for s in self.ready if s.near == 1.0]
+        if self.level == 0.0 and home:  # nothing is learned yet: what this node's tenants may hold fits
+            self.level = self.quota / len(home)
+        self.level = self._level(self.level, home)
         self.far_level = self._level(self.far_level, [s for s in self.ready if s.near < 1.0])
         for server in self.ready:
             self._set_ceiling(server)
@@ -409,9 +431,11 @@
 
     def _raise(self, server: Server) -> None:
         """A connection that took the last free slot was accepted: there is room for one more."""
-        if server.report_load < 0 and server.ceiling - server.load < 1.0 and server.slow_until <= self.now:
+        if server.report_load < 0 and server.ceiling - server.load < 1.0 and server.unclean_until <= self.now:
             if server.limit > 0:
                 server.limit += 1.0
+            else:
+                server.ceiling = max(server.ceiling, server.load)
             server.ceiling += 1.0
             self._grown(server)
 
@@ -426,6 +450,11 @@
         """In proportion to free room; then, by one slot over, a clean server; else None."""
         if among is not None:
             return self._scan(request, among)
+        if request.group in self.homes:  # where its group costs nothing more, as long as there is room
+            homes = [s for s in self.homes[request.group].values() if self._usable(request, s)]
+            home = self._drawn(homes, 0.0)
+            if home is not None:
+                return home
         found = self._draw(request, 0.0)
         if found is None and self.now >= self.scanned + SCAN_AGAIN:
             self.scanned = self.now  # a fleet without room is not scanned for every request
@@ -472,6 +501,9 @@
             return server.zone == ran.zone
         return scope is Scope.ALL or (server.zone, server.cell) == (ran.zone, ran.cell)
 
+    def _usable(self, request: Request, server: Server) -> bool:
+        return server.down_until <= self.now and not server.trial and self._allowed(request, server)
+
     def _clean(self, server: Server) -> bool:
         if server.unclean_until > self.now:
             return False
@@ -483,14 +515,14 @@
         """A load in slots; the mean load of all that is told makes one slot."""
         if load <= 0:
             return 1.0
-        if self.mean_load <= 0:
-            self.mean_load = load
-        self.mean_load += 0.01 * (load - self.mean_load)
+        self.told_loads += 1  # a plain mean at first: one odd connection must not set the measure for long
+        self.mean_load += (load - self.mean_load) / min(self.told_loads, LOADS_MEANT)
         return load / self.mean_load
 
     def _on_request(self, event: NewRequest) -> None:
         klass = self.classes[event.klass]
-        request = Request(event.request, klass, self.now + event.patience, self._slot(event.load_hint))
+        request = Request(event.request, klass, self.now + event.patience, self._slot(event.load_hint),
+                          event.group if self.settings.groups else "")
         self.requests[event.request] = request
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self._set_timer(request, event.patience)
@@ -508,17 +540,37 @@
         return self.failed - self.stood > STORM_SLACK
 
     def _on_resumed(self, event: ConnectionResumed) -> None:
-        request = Request(event.request, self.classes[event.klass], 0.0, self._slot(event.load_hint))
+        request = Request(event.request, self.classes[event.klass], 0.0, self._slot(event.load_hint),
+                          event.group if self.settings.groups else "")
         request.attempts, request.out, request.begun = 1, True, True
         server = self.servers.get(event.server)
         if server is None:  # held by a server that no list has named: counted, never sent to
             server = Server(Member(event.server, ServerState.GONE))
         request.server = server
-        server.load += request.load
-        server.count += 1
+        self._occupy(server, request)
         server.held[request.id] = request
         self.requests[event.request] = request
 
+    def _occupy(self, server: Server, request: Request) -> None:
+        server.load += request.load
+        server.count += 1
+        if request.group:
+            server.load += 0.0 if request.group in server.groups else GROUP_SLOTS
+            server.groups[request.group] = server.groups.get(request.group, 0) + 1
+            self.homes.setdefault(request.group, {})[server.id] = server
+
+    def _vacate(self, server: Server, request: Request) -> None:
+        if request.group:
+            server.groups[request.group] -= 1
+            if not server.groups[request.group]:
+                del server.groups[request.group], self.homes[request.group][server.id]
+                server.load -= GROUP_SLOTS
+                if not self.homes[request.group]:
+                    del self.homes[request.group]
+        server.load = max(0.0, server.load - request.load) if server.count > 1 else 0.0
+        server.count -= 1
+        self._grown(server)
+
     def _set_timer(self, request: Request, delay: float) -> None:
         token = self.next_token
         self.next_token += 1
@@ -540,8 +592,7 @@
         request.tried.append(server)
         request.attempts += 1
         request.out = True
-        server.load += request.load
-        server.count += 1
+        self._occupy(server, request)
         if self._warmth(server) < 1.0:
             server.next_send = self.now + request.load * self._cold_gap(server)
         if server.failures:
@@ -578,14 +629,19 @@
         request.began = self.now
         self.stood += 1
         request.server.held[request.id] = request
+        request.server.errors *= 1 - ERROR_GAIN
         self._answers(request.server)
         self._set_up(request.server, event.latency)
         if self._clean(request.server):
             request.server.strains = 0  # it takes connections again: the next hold is a short one
         self._raise(request.server)
+        if request.server.state is ServerState.DRAINING:  # sent before this was known
+            self._move(request)
 
     def _answers(self, server: Server) -> None:
-        if server.failures or server.trial:
+        if server.errors > ERRS:  # it still fails as often as not: one at a time until it does no more
+            server.trial = False
+        elif server.failures or server.trial:
             server.failures, server.trial, server.down_until = 0, False, 0.0
         if self.strikes.get(server.zone):
             self.strikes[server.zone] = 0
@@ -599,9 +655,7 @@
         if request.out:
             request.out = False
             server.held.pop(request.id, None)
-            server.load = max(0.0, server.load - request.load) if server.count > 1 else 0.0
-            server.count -= 1
-            self._grown(server)
+            self._vacate(server, request)
         if event.report is not None and event.report.load is not None:
             self._heard(server, event.report.load)
         self._judge(server, request, event.status)
@@ -612,7 +666,7 @@
             self.requests.pop(event.request, None)
             request.answered = True
             return
-        if event.status is not Status.CANCELLED and event.status is not Status.NOT_SENT:
+        if event.status not in NO_STORM:
             self.failed += 1
         if event.status not in NEVER_RAN and request.may_have_run is None:
             request.may_have_run, request.ran_at = server, self.now - event.latency
@@ -627,6 +681,10 @@
             self._strained(server, dropped=True)
         elif status is Status.RESET:
             self._strained(server, dropped=True)
+        elif status is Status.ERROR:
+            server.errors += ERROR_GAIN * (1 - server.errors)
+            if server.errors > ERRS:
+                self._silent(server)
         elif status is Status.CANCELLED or status is Status.NOT_SENT:
             server.trial = False
 
