Move all clients of a hung provider within a second; nodes agree on a group's server

A log of every line showed: sound echoes take 1 ms, the hung one answered none, yet said one line unasked. Ruled out: bad clients (10 of their requests came to servers), CPU, the proxies' own lateness.

- DelayMeter.hung: two lines unanswered for 0.7 s and none answered since, while others answer, is a hang; the decider tells the module at its next look, unless that look itself is late.
- Balancer._on_delay: from 0.7 s on all clients of the server are moved, not a fifth.
- A group's first server was drawn by each node for itself, so two nodes paid for it twice. _agreed draws in proportion to free room with the group's own chance (weighted rendezvous hashing).

--- a/saltcourse/delay.py
+++ b/saltcourse/delay.py
@@ -11,9 +11,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from statistics import median
 
 NOTE_EVERY = 1.0  # s between the notes on one provider
+HUNG_AFTER = 0.7  # s without any line back on several connections; sound providers answer in milliseconds
+HUNG_LINES = 2  # connections whose unanswered lines make a provider look hung; fewer if it has fewer
 SILENT_AFTER = 4.0  # s without a line back; clients speak every 2 s and 7 s are allowed
 
 
@@ -26,6 +29,7 @@
         self.asked: dict[str, float] = {}  # connection -> when its oldest unanswered line was sent
         self.trips: dict[str, list[float]] = {}  # provider -> round trips since the last look
         self.noted: set[str] = set()  # providers whose last note said slow
+        self.heard: dict[str, float] = {}  # provider -> when it last answered a line (unasked ones not)
 
     def stands(self, request: str, provider: str) -> None:
         self.provider[request] = provider
@@ -40,12 +44,30 @@
     def line_back(self, request: str, now: float) -> None:
         asked = self.asked.pop(request, None)
         if asked is not None and request in self.provider:
+            self.heard[self.provider[request]] = now
             self.trips.setdefault(self.provider[request], []).append(now - asked)
 
     def silent(self, now: float) -> list[str]:
         """The connections that bring nothing back."""
         return [r for r, asked in self.asked.items() if now - asked >= SILENT_AFTER and r in self.provider]
 
+    def hung(self, now: float) -> list[tuple[str, float]]:
+        """A connection and the delay for each provider that has stopped answering all at once.
+
+        None while no provider answers: then it is this program, or its network, that stands still.
+        """
+        since = now - HUNG_AFTER
+        if not any(at > since for at in self.heard.values()):
+            return []
+        waiting: dict[str, list[tuple[float, str]]] = {}
+        for request, asked in self.asked.items():
+            provider = self.provider.get(request)
+            if provider is not None and self.heard.get(provider, 0.0) < asked <= since:
+                waiting.setdefault(provider, []).append((asked, request))
+        held = Counter(self.provider.values())
+        return [(request, now - asked) for provider, lines in waiting.items()
+                for asked, request in [min(lines)] if len(lines) >= min(HUNG_LINES, held[provider])]
+
     def notes(self, now: float) -> list[tuple[str, float]]:
         """Once a second: a connection and the delay for each provider on which there is something to say."""
         trips, self.trips = self.trips, {}
@@ -68,4 +90,5 @@
                 continue
             found.append((request, delay))
         self.noted.intersection_update(one)
+        self.heard = {provider: at for provider, at in self.heard.items() if provider in one}
         return found
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -24,6 +24,7 @@
 from saltcourse.wire.members import Address, Listing
 
 LOOK_EVERY = 0.25  # s between looks for connections that bring nothing back
+LATE = 0.1  # s by which a look may be late before it judges nobody for being silent
 SUM_EVERY = 5.0  # s between log lines that sum up what is held and believed of each provider
 
 log = structlog.get_logger("saltcourse")
@@ -53,6 +54,7 @@
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self._meter = DelayMeter(min(aims) / 3 if aims and tells_delay else float("inf"))
         self._noted = 0.0
+        self._looked = clock.now()
         # Since the last sum: (provider, status) of each outcome, and ("", action) of each answer and move.
         self._ended_how: Counter[tuple[str, str]] = Counter()
         self._summed = clock.now()
@@ -142,9 +144,15 @@
         """What the module is told of by notes elsewhere is measured here; silence is ended here, for
         a connection that brings nothing back must not wait for a decision."""
         now = self.clock.now()
+        late, self._looked = now - self._looked > LOOK_EVERY + LATE, now
         for request in self._meter.silent(now):
             log.info("connection brings nothing back", request=request)
             self._move(request)
+        if not late:  # else lines that came meanwhile may not have been read yet
+            for request, delay in self._meter.hung(now):
+                log.info("provider has stopped answering", id=self.standing[request].server,
+                         seconds=round(delay, 2))
+                self._handle(lg.DelayNote(request, delay))
         if now - self._noted >= NOTE_EVERY:
             self._noted = now
             for request, delay in self._meter.notes(now):
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+import hashlib
+import math
 import random
 
 from saltcourse.interface import (
@@ -42,6 +44,7 @@
 SHED_ANYWAY = 3.0  # of the slow mark: the aim itself; then moved away even with no room in sight
 SLOW_SETUP = 2.5  # times the usual: a set-up this long waited behind piled-up work
 SETUP_GAIN = 0.05  # of each set-up in the usual time
+HUNG = 0.7  # s that a message takes at a server which does nothing any more: all its clients are moved
 SHED_SHARE = 0.2  # of its connections on such a server that a node moves for each sign, one a second
 HOMEWARD = 0.05  # of the connections that stand in other zones, moved home each second while home is at ease
 EASE = 0.1  # share of home servers with slow messages up to which home is at ease
@@ -296,7 +299,9 @@
             failing = event.delay > SHED_ANYWAY * self.slow_message
             if failing or not self.look:
                 self._strained(server, failing)
-            if failing or (event.delay > SHED_SLOWNESS * self.slow_message and self.largest_room > 0):
+            if event.delay >= HUNG:
+                self._see_off(server)
+            elif failing or (event.delay > SHED_SLOWNESS * self.slow_message and self.largest_room > 0):
                 self._shed(server)
         elif server.unclean_until <= self.now:
             server.slow_until = self.now
@@ -450,9 +455,11 @@
         """In proportion to free room; then, by one slot over, a clean server; else None."""
         if among is not None:
             return self._scan(request, among)
-        if request.group in self.homes:  # where its group costs nothing more, as long as there is room
-            homes = [s for s in self.homes[request.group].values() if self._usable(request, s)]
-            home = self._drawn(homes, 0.0)
+        if request.group:
+            # Where its group costs nothing more, as long as there is room; else where other nodes would go.
+            homes = [s for s in self.homes.get(request.group, {}).values() if self._usable(request, s)]
+            home = self._agreed(request.group, homes) or self._agreed(
+                request.group, [s for s in self.ready if self._allowed(request, s)])
             if home is not None:
                 return home
         found = self._draw(request, 0.0)
@@ -484,6 +491,21 @@
         rooms = [max(0.0, s.ceiling + over - s.load) * s.near for s in servers]
         return self.random.choices(servers, rooms)[0] if sum(rooms) > 0 else None
 
+    @staticmethod
+    def _agreed(group: str, servers: list[Server]) -> Server | None:
+        """A draw in proportion to free room whose chance is the group's own: nodes that see the same room
+        draw the same server, without a word between them (weighted rendezvous hashing)."""
+        best, found = 0.0, None
+        for server in servers:
+            room = (server.ceiling - server.load) * server.near
+            if room > 0:
+                digest = hashlib.blake2b(f"{group} {server.id}".encode(), digest_size=6).digest()
+                chance = (int.from_bytes(digest, "big") + 0.5) / 2**48
+                weight = -room / math.log(chance)
+                if weight > best:
+                    best, found = weight, server
+        return found
+
     def _allowed(self, request: Request, server: Server) -> bool:
         """Not tried before, not cold beyond its share, and within the group that drops repeats.
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -532,3 +532,13 @@
     for _ in range(58):
         without.ask()
     assert without.of(lg.Refuse)  # nothing told, nothing learned: a few slots
+
+
+def test_all_clients_of_a_server_that_has_stopped_answering_are_moved_at_once() -> None:
+    node = Node()
+    node.list(members(3))
+    held = [node.open() for _ in range(30)]
+    server = node.server_of(held[0])
+    node.give(lg.DelayNote(held[0], 1.2))
+    assert {m.request for m in node.of(lg.Move)} == {r for r in held if node.server_of(r) == server}
+    assert all(node.server_of(r) != server for r in [node.ask() for _ in range(9)] if r in node.out)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -122,3 +122,24 @@
     assert meter.silent(10.0 + SILENT_AFTER - 0.1) == [] and meter.silent(10.0 + SILENT_AFTER) == ["a"]
     meter.ended("a")
     assert meter.silent(99.0) == []
+
+
+def test_a_provider_is_hung_when_several_lines_stay_unanswered_while_others_answer() -> None:
+    # Each client was moved by itself after 4 s of silence; thirteen of them had lost 45 s between them.
+    meter = DelayMeter(slow=0.02)
+    for request in "abcd":
+        meter.stands(request, "hung")
+    meter.stands("z", "sound")
+    meter.line_sent("a", 9.8)
+    meter.line_back("a", 9.9)
+    for i, request in enumerate("ab"):
+        meter.line_sent(request, 10.0 + i / 5)
+    meter.line_sent("z", 10.8)
+    assert not meter.hung(11.0)  # nobody answers: that may be this program's own fault
+    meter.line_back("z", 10.8)
+    assert not meter.hung(10.8)  # too early for the second line
+    assert meter.hung(11.0) == [("a", pytest.approx(1.0))]
+    meter.line_back("d", 10.9)  # a hung provider was seen to say something unasked
+    assert meter.hung(11.0)
+    meter.line_back("b", 10.9)
+    assert not meter.hung(11.0)
