Module: chance resets exclude nobody, groups stay together only near the mean load

And _pick kept a group where it was up to a ceiling of 18 slots, while the mean stood at 12.

- A second reset within a second tells of drops; the first does not.
- A cut leaves at least half of a mean server's level.
- A group stays where it is held up to five slots above the mean of all, not up to the ceiling.

--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -28,8 +28,10 @@
 FEW_SLOTS = 2.0  # slots a ceiling starts above the mean occupancy, for a server of mean weight
 LEVEL_MEMORY = 60.0  # s in which the common ceiling forgets; about a connection's life
 CUT = 0.9  # share of its occupancy that a refusing, dropping or slow server's ceiling is cut to
+LEAST_LIMIT = 0.5  # of a mean server's level that a cut leaves
 UNCLEAN = 2.0  # s that a server counts as having lately refused, dropped or been slow; doubles
 CUT_EVERY = 1.0  # s between cuts: one jam drops many connections at once and is one sign
+BREAKS_WITHIN = 1.0  # s in which a second reset tells that a server drops connections
 TARGET = 0.85  # reported load at which a server has no free slot
 SPREAD = 0.1  # free slots reach this much reported load above the fleet's mean
 FIRST_BACKOFF = 0.5  # s that a server is left alone after its first silent failure; doubles
@@ -52,6 +54,7 @@
 STORM_DROP = 3.0  # s under which a dropped connection counts as an attempt that failed
 STORM_SLACK = 4.0  # failures more than successes that are bad luck and no storm
 GROUP_SLOTS = 3.0  # mean connection loads that a group costs at each server that holds any of it
+UNEVEN = 5.0  # slots above the mean up to which a server that holds a group gets more of it
 ERROR_GAIN = 0.2  # of each answer in a server's share of errors
 ERRS = 0.3  # share of errors over which a server is tried by one connection at a time
 NO_STORM = (Status.CANCELLED, Status.NOT_SENT, Status.ERROR)  # endings that no jam of set-ups causes
@@ -73,7 +76,7 @@
     __slots__ = ("id", "zone", "kind", "cell", "weight", "started", "state", "load", "count", "ceiling",
                  "limit", "size", "unclean_until", "failures", "down_until", "trial", "report_load",
                  "report_at", "probing", "next_send", "strains", "asking", "near", "slow_until",
-                 "cut_at", "slots", "held", "errors", "groups")
+                 "cut_at", "slots", "held", "errors", "groups", "broke_at")
 
     def __init__(self, member: Member) -> None:
         self.id = member.server
@@ -96,7 +99,7 @@
         self.ceiling = 0.0
         self.limit = 0.0  # learned ceiling; 0 = none yet
         self.unclean_until = self.slow_until = self.down_until = self.next_send = 0.0
-        self.cut_at = -1e9
+        self.cut_at = self.broke_at = -1e9
         self.failures = self.strains = 0
         self.errors = 0.0  # share of its late answers that were errors
         self.trial = False
@@ -133,7 +136,6 @@
         self.out: list[Action] = []
         self.classes = {c.name: c for c in settings.classes}
         self.servers: dict[str, Server] = {}
-        self.homes: dict[str, dict[str, Server]] = {}  # group -> servers that hold connections of it
         self.ready: list[Server] = []
         self.largest_room = 0.0
         self.scanned = -1.0  # when a scan of all servers found no room
@@ -281,7 +283,9 @@
         """
         if self.now >= server.cut_at + CUT_EVERY:
             server.cut_at = self.now
-            server.limit = max(server.load * (CUT if dropped else 1.0), 0.5)
+            # One that holds little has shown nothing of what it can hold.
+            least = LEAST_LIMIT * server.slots * (self.level if server.near == 1.0 else self.far_level)
+            server.limit = max(server.load * (CUT if dropped else 1.0), least, 0.5)
             server.strains = min(server.strains + 1, 3) if dropped else server.strains
         hold = UNCLEAN * 2.0 ** max(0, server.strains - 1)
         server.slow_until = max(server.slow_until, self.now + hold)
@@ -456,10 +460,12 @@
         if among is not None:
             return self._scan(request, among)
         if request.group:
-            # Where its group costs nothing more, as long as there is room; else where other nodes would go.
-            homes = [s for s in self.homes.get(request.group, {}).values() if self._usable(request, s)]
-            home = self._agreed(request.group, homes) or self._agreed(
-                request.group, [s for s in self.ready if self._allowed(request, s)])
+            # Where its group costs nothing more, unless that is much fuller than others; else where other
+            # nodes would go.
+            fair = sum([s.load for s in self.ready]) / max(1.0, sum([s.slots for s in self.ready])) + UNEVEN
+            able = [s for s in self.ready if self._allowed(request, s)]
+            home = (self._agreed(request.group, [s for s in able if request.group in s.groups], fair)
+                    or self._agreed(request.group, able, fair))
             if home is not None:
                 return home
         found = self._draw(request, 0.0)
@@ -492,12 +498,12 @@
         return self.random.choices(servers, rooms)[0] if sum(rooms) > 0 else None
 
     @staticmethod
-    def _agreed(group: str, servers: list[Server]) -> Server | None:
+    def _agreed(group: str, servers: list[Server], fair: float) -> Server | None:
         """A draw in proportion to free room whose chance is the group's own: nodes that see the same room
         draw the same server, without a word between them (weighted rendezvous hashing)."""
         best, found = 0.0, None
         for server in servers:
-            room = (server.ceiling - server.load) * server.near
+            room = (min(server.ceiling, fair * server.slots) - server.load) * server.near
             if room > 0:
                 digest = hashlib.blake2b(f"{group} {server.id}".encode(), digest_size=6).digest()
                 chance = (int.from_bytes(digest, "big") + 0.5) / 2**48
@@ -523,9 +529,6 @@
             return server.zone == ran.zone
         return scope is Scope.ALL or (server.zone, server.cell) == (ran.zone, ran.cell)
 
-    def _usable(self, request: Request, server: Server) -> bool:
-        return server.down_until <= self.now and not server.trial and self._allowed(request, server)
-
     def _clean(self, server: Server) -> bool:
         if server.unclean_until > self.now:
             return False
@@ -579,16 +582,13 @@
         if request.group:
             server.load += 0.0 if request.group in server.groups else GROUP_SLOTS
             server.groups[request.group] = server.groups.get(request.group, 0) + 1
-            self.homes.setdefault(request.group, {})[server.id] = server
 
     def _vacate(self, server: Server, request: Request) -> None:
         if request.group:
             server.groups[request.group] -= 1
             if not server.groups[request.group]:
-                del server.groups[request.group], self.homes[request.group][server.id]
+                del server.groups[request.group]
                 server.load -= GROUP_SLOTS
-                if not self.homes[request.group]:
-                    del self.homes[request.group]
         server.load = max(0.0, server.load - request.load) if server.count > 1 else 0.0
         server.count -= 1
         self._grown(server)
@@ -702,7 +702,10 @@
             self._answers(server)
             self._strained(server, dropped=True)
         elif status is Status.RESET:
-            self._strained(server, dropped=True)
+            # Networks and clients break a connection now and then; a server that drops breaks more than one.
+            if self.now < server.broke_at + BREAKS_WITHIN:
+                self._strained(server, dropped=True)
+            server.broke_at = self.now
         elif status is Status.ERROR:
             server.errors += ERROR_GAIN * (1 - server.errors)
             if server.errors > ERRS:
