Watches that fall silent are given up in time, and one follows a fetched list soon

What changed counts as told 6 s after it did, so the proxies sat on an old list (WATCH_TIME 10 s and CALL_TIME 3.5 s). After a fetched list the module let 2.5 to 5 s pass unwatched (_on_members).

A call of a watch now waits 4 s and is given up 1.5 s later; the next watch follows a fetched list within 0.75 s.

--- a/saltcourse/net/directory.py
+++ b/saltcourse/net/directory.py
@@ -18,7 +18,8 @@
 from saltcourse.wire.members import Address, BadList, Listing, parse_list
 
 PATH = "/catalog/members"
-WATCH_TIME = 10.0  # s that one call of a watch may wait for news
+WATCH_TIME = 4.0  # s that one call of a watch may wait for news: a watch can fall silent with news held back,
+WATCH_SLACK = 1.5  # and is given up this much later; what has changed counts as told 6 s after it did
 CALL_TIME = 3.5  # s beyond that for an answer: discovery gives up a call that has waited 3 s for its turn
 SOON = 0.1  # s; a watch goes on when the next call comes within 0.2 s of an answer
 FIRST_CALL_TIME = 1.2  # s for the first answer at a new address, doubling: the list is owed within 4 s
@@ -95,7 +96,7 @@
         while True:
             begun = loop.time()
             target = f"{PATH}?after={self._version}&wait_ms={round(WATCH_TIME * 1000)}"
-            listing = await self._call(target, WATCH_TIME)
+            listing = await self._call(target, WATCH_TIME, WATCH_SLACK)
             if listing is None:
                 break
             self._tell(listing)
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -65,6 +65,7 @@
 LOOK_FRESH = 0.25  # s for which a report saves another probe
 LOOKS = 2  # rounds of such questions before a request is refused because all asked were full
 REPORT_STALE = 5.0  # s after which a report says no more than the fleet's mean
+WATCH_AGAIN = 0.5  # s from a list that was fetched to the next watch
 SCAN_AGAIN = 0.1  # s for which a scan that found no room anywhere holds
 LOOK_WAIT = 0.05  # s that a placement waits for these answers
 TICK_TOKEN, LIST_TOKEN, FIRST_FREE_TOKEN = 1, 2, 3
@@ -187,8 +188,7 @@
             self.list_failures = 0
             if self.polled:  # fetched once, not watched: the watch is asked for again, in time
                 self.polled = False
-                wait = self.settings.ask_within * (0.25 + self.random.random() / 4)
-                self.out.append(SetTimer(wait, LIST_TOKEN))
+                self.out.append(SetTimer(WATCH_AGAIN * (0.5 + self.random.random()), LIST_TOKEN))
         if event.kind is not ListKind.CHANGED:
             named = {m.server for m in event.members}
             for server in self.servers.values():
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -8,7 +8,7 @@
 from structlog.testing import capture_logs
 
 from saltcourse import delay
-from saltcourse.net import consumer, lifecycle
+from saltcourse.net import consumer, directory, lifecycle
 from tests.player import Player, sections
 
 SECTIONS = sections()
@@ -20,6 +20,9 @@
         monkeypatch.setattr(delay, "SILENT_AFTER", 0.1)
     if "in time" in title:
         monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
+    if "falls silent" in title:
+        monkeypatch.setattr(directory, "WATCH_TIME", 0.1)
+        monkeypatch.setattr(directory, "WATCH_SLACK", 0.1)
     if "SIGTERM" not in title:
         monkeypatch.setattr(lifecycle, "STILL_TAKING", 0.0)
 
