--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -276,11 +276,9 @@
             self.ready.remove(server)
 
     def _strained(self, server: Server, dropped: bool) -> None:
-        """It refused or dropped, or its messages are slow: it gets nothing for a while.
-
-        What it holds is then the most it can do, or a little too much where it dropped some. A slow one
-        may still overflow; one that drops may not, and is left alone for longer each time.
-        """
+        """It refused or dropped, or its messages are slow: it gets nothing for a while. What it holds is
+        then the most it can do, or a little too much where it dropped some. A slow one may still overflow;
+        one that drops may not, and is left alone for longer each time."""
         if self.now >= server.cut_at + CUT_EVERY:
             server.cut_at = self.now
             # One that holds little has shown nothing of what it can hold.
@@ -321,19 +319,15 @@
         self.usual_setup = usual + SETUP_GAIN * (min(took, SLOW_SETUP * usual) - usual)
 
     def _shed(self, server: Server) -> None:
-        """Move a few connections off a server whose messages fail: to another with room, or, when nearly
-        none of its messages is in time, to wherever their clients find room: few served beat all failed.
-
-        Every node with a connection there is told in the same second, so each moves only a share.
-        """
+        """Move a few connections off a server whose messages fail: few served beat all failed. Every node
+        with a connection there is told in the same second, so each moves only a share."""
         count = int(SHED_SHARE * len(server.held) + self.random.random())
         for request in self.random.sample(list(server.held.values()), min(count, len(server.held))):
             self._move(request)
 
     def _homeward(self, tick: float) -> None:
         """Bring connections home from other zones, bit by bit, while home is at ease: each costs by the
-        second, and all of them are lost when the zones are cut apart. Where servers report their load,
-        measured, the balance between zones is worth more."""
+        second. Where servers report their load, measured, the balance between zones is worth more."""
         if self.look:
             return
         home = [s for s in self.ready if s.near == 1.0]
@@ -559,9 +553,8 @@
         self._place(request, None)
 
     def _storm(self) -> bool:
-        """Most attempts of late failed or were dropped young, whichever server they went to: set-up work of
-        returning clients jams the fleet or what it shares. Refusing at once lets the jam drain; each success
-        earns another try."""
+        """Most attempts of late failed or were dropped young, whichever server they went to: returning
+        clients jam the fleet. Refusing at once lets the jam drain; each success earns another try."""
         return self.failed - self.stood > STORM_SLACK
 
     def _on_resumed(self, event: ConnectionResumed) -> None:
