Module: the fullest server gives up a group's stragglers, where more of it is elsewhere

Connections from before the start are spread over all servers, and with lives of half a minute they do not sort themselves out. Ruled out: refusals (none) and exclusions (two in twenty seconds).

Balancer._gather: each tick the fullest server moves the one or two connections that it holds of a group, if a less full server holds more of it.

--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -4,10 +4,9 @@
 slot ceiling and an occupancy for each server and sends a new connection to a ready server with
 probability its free room (ceiling minus occupancy) over the room of all. With no room left it
 overflows by one slot to clean servers, and only then refuses. One slot is the mean load of a
-connection. What else happens here learns the ceilings or says which servers are ready.
-
-Read in this order: constants, ``Server`` and ``Request``, then ``Balancer`` from top to bottom:
-events, membership, health, ceilings, pick, request life, probes.
+connection; a group costs each server that holds any of it some more, and is kept together while
+that server is not much fuller than others. What else happens here learns the ceilings or says which
+servers are ready. Read it from top to bottom.
 """
 
 from __future__ import annotations
@@ -55,6 +54,7 @@
 STORM_SLACK = 4.0  # failures more than successes that are bad luck and no storm
 GROUP_SLOTS = 3.0  # mean connection loads that a group costs at each server that holds any of it
 UNEVEN = 5.0  # slots above the mean up to which a server that holds a group gets more of it
+STRAGGLERS = 2  # connections of a group that are moved to where more of it are, from the fullest server
 ERROR_GAIN = 0.2  # of each answer in a server's share of errors
 ERRS = 0.3  # share of errors over which a server is tried by one connection at a time
 NO_STORM = (Status.CANCELLED, Status.NOT_SENT, Status.ERROR)  # endings that no jam of set-ups causes
@@ -227,8 +227,8 @@
     def _list_lost(self) -> None:
         """A watch that failed or broke is asked for again, later each time, well within what is allowed."""
         self.list_failures += 1
-        longest = self.settings.ask_within
-        wait = min(longest, 2.0 ** self.list_failures * 0.5) * (0.5 + self.random.random() / 2)
+        longest = min(self.settings.ask_within, 2.0 ** self.list_failures * 0.5)
+        wait = longest * (0.5 + self.random.random() / 2)
         self.out.append(SetTimer(wait, LIST_TOKEN))
 
     def _see_off(self, server: Server) -> None:
@@ -338,6 +338,17 @@
         for request in self.random.sample(away, min(count, len(away))):
             self._move(request)
 
+    def _gather(self) -> None:
+        """The fullest server gives up what it holds of a group that costs it more than that is worth."""
+        full = max(self.ready, key=lambda s: s.load / max(s.slots, 0.1), default=None)
+        if full is None or not full.groups or self.look:
+            return
+        few, group = min((count, group) for group, count in full.groups.items())
+        if few <= STRAGGLERS and any([s.groups.get(group, 0) > few and s.load < full.load - GROUP_SLOTS
+                                      for s in self.ready]):
+            for request in [r for r in full.held.values() if r.group == group]:
+                self._move(request)
+
     def _move(self, request: Request) -> None:
         if request.server is not None:
             request.server.held.pop(request.id, None)
@@ -435,17 +446,14 @@
     def _raise(self, server: Server) -> None:
         """A connection that took the last free slot was accepted: there is room for one more."""
         if server.report_load < 0 and server.ceiling - server.load < 1.0 and server.unclean_until <= self.now:
-            if server.limit > 0:
-                server.limit += 1.0
-            else:
-                server.ceiling = max(server.ceiling, server.load)
-            server.ceiling += 1.0
+            learned = server.limit > 0
+            server.limit += 1.0 if learned else 0.0
+            server.ceiling = (server.ceiling if learned else max(server.ceiling, server.load)) + 1.0
             self._grown(server)
 
     def _grown(self, server: Server) -> None:
         room = (server.ceiling - server.load) * server.near
-        if room > self.largest_room:
-            self.largest_room = room
+        self.largest_room = max(self.largest_room, room)
 
     # ---- pick -----------------------------------------------------------------------------------
 
@@ -454,8 +462,7 @@
         if among is not None:
             return self._scan(request, among)
         if request.group:
-            # Where its group costs nothing more, unless that is much fuller than others; else where other
-            # nodes would go.
+            # Where its group costs nothing more, unless that is much fuller; else where others would go.
             fair = sum([s.load for s in self.ready]) / max(1.0, sum([s.slots for s in self.ready])) + UNEVEN
             able = [s for s in self.ready if self._allowed(request, s)]
             home = (self._agreed(request.group, [s for s in able if request.group in s.groups], fair)
@@ -507,10 +514,8 @@
         return found
 
     def _allowed(self, request: Request, server: Server) -> bool:
-        """Not tried before, not cold beyond its share, and within the group that drops repeats.
-
-        The state is asked here too: a server may begin to drain while its probe is out.
-        """
+        """Not tried before, not cold beyond its share, within the group that drops repeats, and still
+        ready: a server may begin to drain while its probe is out."""
         if server.next_send > self.now or server.state is not ServerState.READY or server in request.tried:
             return False
         ran = request.may_have_run
@@ -640,8 +645,7 @@
         request = self.requests.get(event.request)
         if request is None or request.server is None:
             return
-        request.begun = True
-        request.began = self.now
+        request.begun, request.began = True, self.now
         self.stood += 1
         request.server.held[request.id] = request
         request.server.errors *= 1 - ERROR_GAIN
@@ -728,6 +732,7 @@
             self.failed *= max(0.0, 1 - tick / STORM_MEMORY)
             self.stood = max(0.0, self.stood * (1 - tick / STORM_MEMORY))
             self._homeward(tick)
+            self._gather()
             self.out.append(SetTimer(tick, TICK_TOKEN))
         elif event.token == LIST_TOKEN:
             self.polled = self.list_failures % 2 == 1  # a watch that failed: the whole list may still be had
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -560,3 +560,13 @@
     assert server.unclean_until <= node.now
     node.end(on[2], lg.Status.RESET, final=True)
     assert server.unclean_until > node.now and server.limit > 10
+
+
+def test_the_fullest_server_gives_up_the_stragglers_of_a_group() -> None:
+    # Connections that stood before the start were spread so that each server paid for every group.
+    node = Node(groups=True)
+    node.list(members(2))
+    for i, (server, group) in enumerate([("s0", "a")] * 9 + [("s0", "b")] + [("s1", "b")] * 3):
+        node.give(lg.ConnectionResumed(f"old{i}", "quick", server, group=group))
+    node.run(2.0)
+    assert {m.request for m in node.of(lg.Move)} == {"old9"}
