Module: attempts sent before a back-off do not lengthen it

Observed on incident r71a328: eight errors in the first second after a restart (error=8, down) left a server alone for LONGEST_BACKOFF while the others stood at 48 slots.

--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -232,8 +232,7 @@
         self.out.append(SetTimer(wait, LIST_TOKEN))
 
     def _see_off(self, server: Server) -> None:
-        """Clients are told to move while their server still stands: when it stops it cuts them off, and
-        those come back later. A whole list that merely leaves a server out does not prove it gone."""
+        """Clients move while their server stands. (A whole list that omits one does not prove it gone.)"""
         for request in list(server.held.values()):
             self._move(request)
 
@@ -247,9 +246,8 @@
         warm_up = self.settings.warm_up
         if server.started <= 0 or warm_up <= 0:
             return 1.0
-        age = max(0.0, self.now - server.started)
         share = self.settings.start_share
-        return min(1.0, share + (1 - share) * age / warm_up)
+        return min(1.0, share + (1 - share) * max(0.0, self.now - server.started) / warm_up)
 
     def _cold_gap(self, server: Server) -> float:
         """Seconds between this node's slots to a cold server, so that all nodes fill it over its warm-up."""
@@ -260,6 +258,8 @@
 
     def _silent(self, server: Server) -> None:
         """A failure to connect or a time-out: left alone for a while that doubles, then tried by one."""
+        if self.now < server.down_until:  # sent before the failure that it is left alone for
+            return
         server.failures += 1
         wait = min(LONGEST_BACKOFF, FIRST_BACKOFF * 2.0 ** (server.failures - 1))
         server.down_until = self.now + wait * (0.75 + self.random.random() / 2)
@@ -662,9 +662,8 @@
             server.trial = False
         elif server.failures or server.trial:
             server.failures, server.trial, server.down_until = 0, False, 0.0
-        if self.strikes.get(server.zone):
-            self.strikes[server.zone] = 0
-            self.zone_down.pop(server.zone, None)
+        self.strikes.pop(server.zone, None)
+        self.zone_down.pop(server.zone, None)
 
     def _on_outcome(self, event: Outcome) -> None:
         request = self.requests.get(event.request)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -570,3 +570,14 @@
         node.give(lg.ConnectionResumed(f"old{i}", "quick", server, group=group))
     node.run(2.0)
     assert {m.request for m in node.of(lg.Move)} == {"old9"}
+
+
+def test_failures_of_attempts_from_before_a_back_off_do_not_lengthen_it() -> None:
+    # Eight errors in one burst after a restart left a server alone for eight seconds at once.
+    node = Node(tenants=(lg.Tenant("t", 1.0, 90.0),))
+    node.list(members(2))
+    out = [r for r in [node.ask() for _ in range(30)] if node.server_of(r) == "s0"]
+    for request in out[:8]:
+        node.end(request, lg.Status.CONNECT_FAILED)
+    server = node.balancer.servers["s0"]
+    assert server.failures == 1 and node.now < server.down_until < node.now + 1
