Module: over-full servers give up groups, cuts in a row halve the floor, small starts

Change: the fullest server gives up what is over the mean and five slots, of its largest group, at once. Cuts in a row halve the floor; a small limit recovers in proportion to itself. A server that answers after a rest starts with two slots more than it holds.

--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -138,7 +138,7 @@
         if there > served:
             lost.append((there - served, since, served / offered if offered else 1.0))
     for worth, since, share in sorted(lost, reverse=True)[:WINDOWS_SHOWN]:
-        click.echo(f"  worst run: from {since:.0f} s it served {share:.1%}, {worth:.0f} of worth less than the best")
+        click.echo(f"  worst run: from {since:.0f} s it served {share:.1%}, {worth:.0f} less than the best")
     click.echo(f"  fullest provider over the mean: worst {worst.uneven:.2f}, best {best.uneven:.2f}")
     for provider in sorted(worst.states.keys() | best.states.keys()):
         ours, theirs = worst.states.get(provider, Counter()), best.states.get(provider, Counter())
@@ -173,7 +173,7 @@
     cores = sorted(os.sched_getaffinity(0))
     most = max(1, (len(cores) - 1) // CORES_A_LANE)
     if lanes and lanes > most:
-        click.echo(f"--lanes: {lanes} lanes of {CORES_A_LANE} cores do not fit on {len(cores)} cores", err=True)
+        click.echo(f"--lanes: {lanes} of {CORES_A_LANE} cores each do not fit on {len(cores)}", err=True)
         sys.exit(2)
     blocks = [",".join(str(c) for c in cores[i * CORES_A_LANE:(i + 1) * CORES_A_LANE])
               for i in range(lanes or most)]
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -68,7 +68,7 @@
 WATCH_AGAIN = 0.5  # s from a list that was fetched to the next watch
 SCAN_AGAIN = 0.1  # s for which a scan that found no room anywhere holds
 LOOK_WAIT = 0.05  # s that a placement waits for these answers
-TICK_TOKEN, LIST_TOKEN, FIRST_FREE_TOKEN = 1, 2, 3
+TICK_TOKEN, LIST_TOKEN = 1, 2
 
 
 class Health(IntEnum):
@@ -157,7 +157,7 @@
         self.scanned = -1.0  # when a scan of all servers found no room
         self.requests: dict[str, Request] = {}
         self.timers: dict[int, Request] = {}
-        self.next_token = FIRST_FREE_TOKEN
+        self.next_token = LIST_TOKEN  # the last one given out
         self.list_failures, self.polled = 0, False  # polled: the last call was for the whole list, once
         self.usual_setup = 0.0  # s that a set-up takes, over all servers; 0 until one has been timed
         self.mean_load, self.told_loads = 0.0, 0  # load of one slot, 0 until told one; loads that it means
@@ -200,12 +200,12 @@
             if self.polled:  # fetched once, not watched: the watch is asked for again, in time
                 self.polled = False
                 self.out.append(SetTimer(WATCH_AGAIN * (0.5 + self.random.random()), LIST_TOKEN))
-        if event.kind is not ListKind.CHANGED:
+        changed = event.kind is not ListKind.CHANGED
+        if changed:
             named = {m.server for m in event.members}
             for server in self.servers.values():
                 if server.id not in named:  # not in a whole list: removed
                     server.state = ServerState.GONE
-        changed = event.kind is not ListKind.CHANGED
         for member in event.members:
             known = self.servers.get(member.server)
             if known and known.state is member.state and known.started == member.started:
@@ -223,7 +223,7 @@
                 server.next_send = self.now + self.random.random() * self._cold_gap(server)
             if server.state is ServerState.DRAINING or (
                     event.kind is ListKind.CHANGED and server.state is ServerState.GONE):
-                self._see_off(server)
+                self._move(list(server.held.values()))  # (a whole list that omits one does not prove it gone)
         if changed:  # weights alone are read at the next tick
             self._refresh()
 
@@ -235,10 +235,6 @@
             spread = min(self.settings.ask_within / 2, 0.2 * self.settings.balancers)
             self.out.append(SetTimer(spread * self.random.random(), LIST_TOKEN))
 
-    def _see_off(self, server: Server) -> None:
-        """Clients move while their server stands. (A whole list that omits one does not prove it gone.)"""
-        self._move(list(server.held.values()))
-
     def _warmth(self, server: Server) -> float:
         """The share of its capacity that a server surely has by now."""
         warm_up, share = self.settings.warm_up, self.settings.start_share
@@ -262,6 +258,8 @@
         elif before is Health.DUE:
             server.trial = request
         if sign is Sign.TOOK:
+            if before is not Health.USABLE:  # it starts small: what it can do now is not known
+                server.limit = min(server.limit or math.inf, server.load + FEW_SLOTS)
             server.failures, server.down_until = 0, 0.0
         elif server.health is Health.RESTING and before is not Health.RESTING:
             server.failures += 1  # what was sent before does not lengthen the rest
@@ -283,8 +281,9 @@
         A slow one may still overflow; one that drops may not, and is left alone for longer each time."""
         if self.now >= server.cut_at + CUT_EVERY:
             server.cut_at = self.now
-            # One that holds little has shown nothing of what it can hold.
-            least = LEAST_LIMIT * server.slots * (self.level if server.near == 1.0 else self.far_level)
+            # One that holds little has shown nothing of what it can hold, at first: cuts in a row halve it.
+            mean = server.slots * (self.level if server.near == 1.0 else self.far_level)
+            least = LEAST_LIMIT * min(mean, server.limit or mean)
             server.limit = max(server.load * (CUT if dropped else 1.0), least, 0.5)
             server.strains = min(server.strains + 1, 3) if dropped else server.strains
         hold = UNCLEAN * 2.0 ** max(0, server.strains - 1)
@@ -304,7 +303,7 @@
             if failing or not self.look:
                 self._strained(server, failing)
             if event.delay >= HUNG:
-                self._see_off(server)
+                self._move(list(server.held.values()))
             elif failing or (event.delay > SHED_SLOWNESS * self.slow_message and self.largest_room > 0):
                 self._shed(server)
         elif server.unclean_until <= self.now:
@@ -321,8 +320,7 @@
         self.usual_setup = usual + SETUP_GAIN * (min(took, SLOW_SETUP * usual) - usual)
 
     def _shed(self, server: Server) -> None:
-        """Move a few connections off a server whose messages fail: few served beat all failed. Every node
-        with a connection there is told in the same second, so each moves only a share."""
+        """Few served beat all failed: move a share, for each node with connections there is told at once."""
         self._move(self._share(list(server.held.values()), SHED_SHARE))
 
     def _homeward(self, tick: float) -> None:
@@ -337,15 +335,23 @@
         self._move(self._share(away, HOMEWARD * tick))
 
     def _gather(self) -> None:
-        """The fullest server gives up what it holds of a group that costs it more than that is worth."""
+        """The fullest server gives up what is over the most it would be sent, or a group's stragglers."""
         full = max(self.ready, key=lambda s: s.load / max(s.slots, 0.1), default=None)
         if full is None or not full.groups or self.look:
             return
-        few, group = min((count, group) for group, count in full.groups.items())
-        if few <= STRAGGLERS and any([s.groups.get(group, 0) > few and s.load < full.load - GROUP_SLOTS
-                                      for s in self.ready]):
+        over = math.ceil(full.load / max(full.slots, 0.1) - self._fair())
+        counts = sorted((count, group) for group, count in full.groups.items())
+        (few, group), (_, most) = counts[0], counts[-1]
+        if over > 0:
+            self._move([r for r in full.held.values() if r.group == most][:over])
+        elif few <= STRAGGLERS and any([s.groups.get(group, 0) > few and s.load < full.load - GROUP_SLOTS
+                                        for s in self.ready]):
             self._move([r for r in full.held.values() if r.group == group])
 
+    def _fair(self) -> float:
+        """What a server of mean size may hold and still be sent more of a group that it holds."""
+        return sum([s.load for s in self.ready]) / max(1.0, sum([s.slots for s in self.ready])) + UNEVEN
+
     def _share(self, requests: list[Request], share: float) -> list[Request]:
         count = int(share * len(requests) + self.random.random())
         return self.random.sample(requests, min(count, len(requests)))
@@ -372,11 +378,9 @@
             return
         if self.look:
             self._learn_capacity()
-        else:
-            mean_weight = sum(s.weight for s in self.ready) / len(self.ready) or 1.0
-            for server in self.ready:
-                server.size = server.weight / mean_weight
+        mean_weight = sum(s.weight for s in self.ready) / len(self.ready) or 1.0
         for server in self.ready:
+            server.size = server.size if self.look else server.weight / mean_weight
             server.slots = server.size if server.started <= 0 else server.size * self._warmth(server)
         # Home and other zones fill apart: this node sends mostly home.
         home = [s for s in self.ready if s.near == 1.0]
@@ -388,8 +392,7 @@
             self._set_ceiling(server)
 
     def _level(self, level: float, servers: list[Server]) -> float:
-        """What the mean server of these holds, and a few slots more. It forgets slowly: a fleet whose
-        clients dropped off together takes them back together."""
+        """What the mean server of these holds, and some slots more; forgotten slowly, for clients return."""
         slots = sum([s.slots for s in servers])
         mean = sum([s.load for s in servers]) / slots if slots > 0 else 0.0
         return max(level * (1 - TICK / LEVEL_MEMORY), mean + FEW_SLOTS)
@@ -429,7 +432,7 @@
             if server.slow_until > self.now:
                 server.ceiling = min(server.ceiling, load)
             else:
-                server.limit += RECOVERY * level * server.size
+                server.limit += RECOVERY * min(level * server.size, 2 * server.limit)
                 server.ceiling = min(server.ceiling, server.limit)
         elif server.ceiling < load:  # nothing says that it is full: what it holds is no reason to refuse
             server.ceiling = load
@@ -466,8 +469,7 @@
             return self._scan(request, among)
         if request.group:
             # Where its group costs nothing more, unless that is much fuller; else where others would go.
-            fair = sum([s.load for s in self.ready]) / max(1.0, sum([s.slots for s in self.ready])) + UNEVEN
-            able = [s for s in self.ready if self._allowed(request, s)]
+            fair, able = self._fair(), [s for s in self.ready if self._allowed(request, s)]
             home = (self._agreed(request.group, [s for s in able if request.group in s.groups], fair)
                     or self._agreed(request.group, able, fair))
             if home is not None:
@@ -554,9 +556,8 @@
         if self._storm():
             self._give_up(request)
             return
-        if self.look and self._look(request):
-            return
-        self._place(request, None)
+        if not (self.look and self._look(request)):
+            self._place(request, None)
 
     def _storm(self) -> bool:
         """Most attempts of late failed or were dropped young, whichever server they went to: returning
@@ -591,10 +592,9 @@
         self._grown(server)
 
     def _set_timer(self, request: Request, delay: float) -> None:
-        token = self.next_token
         self.next_token += 1
-        self.timers[token] = request
-        self.out.append(SetTimer(max(0.0, delay), token))
+        self.timers[self.next_token] = request
+        self.out.append(SetTimer(max(0.0, delay), self.next_token))
 
     def _place(self, request: Request, among: list[Server] | None) -> None:
         left = request.deadline - self.now
