--- /dev/null
+++ b/saltcourse/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which live instance holds the service address: election, transport and announcing."""
