--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from enum import Enum
 from functools import partial
+from typing import Protocol
 
 import structlog
 
@@ -43,11 +44,23 @@
     STOPPED = "stopped"
 
 
+class Companion(Protocol):
+    """What runs beside the proxy in its process where the operator switched it on."""
+
+    async def start(self) -> None: ...
+
+    async def leave(self) -> None:
+        """Before draining: clients are then already sent elsewhere."""
+
+    def reload(self) -> None: ...
+
+
 class Lifecycle:
     """``reread`` reads the configuration anew when SIGHUP asks for it; without it SIGHUP changes nothing."""
 
-    def __init__(self, config: Config, reread: Callable[[], Config] | None = None) -> None:
-        self.config, self._reread = config, reread
+    def __init__(self, config: Config, reread: Callable[[], Config] | None = None,
+                 beside: Companion | None = None) -> None:
+        self.config, self._reread, self._beside = config, reread, beside
         self.phase = Phase.STARTING
         self.clock = Clock()
         self.directory = Directory(config.discovery, config.known.version, lambda m: self.decider.tell(m))
@@ -73,7 +86,11 @@
         self.directory.start()
         self._listener = self._listen()
         self._enter(Phase.SERVING)
+        if self._beside is not None:
+            await self._beside.start()
         await self.leave.wait()
+        if self._beside is not None:
+            await self._beside.leave()
         await self._drain()
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self._enter(Phase.STOPPED)
@@ -83,6 +100,8 @@
 
         The same in every phase: also a program that drains has to hear of its providers.
         """
+        if self._beside is not None:
+            self._beside.reload()
         if self._reread is None:
             return
         try:
@@ -194,9 +213,10 @@
         return held + 1 + OWN_SOCKETS > self.config.limits.sockets
 
 
-def serve(config: Config, reread: Callable[[], Config] | None = None) -> None:
+def serve(config: Config, reread: Callable[[], Config] | None = None,
+          beside: Companion | None = None) -> None:
     """Run the program; OSError when it cannot listen."""
-    asyncio.run(Lifecycle(config, reread).run())
+    asyncio.run(Lifecycle(config, reread, beside).run())
 
 
 __all__ = ["Lifecycle", "Phase", "serve"]
