--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -116,8 +116,12 @@
 @operator_option
 @click.option("--name", default=None, help="Which member this is; default $EDGE_NAME, or the file's me.")
 def witness(operator: str | None, name: str | None) -> None:
-    """Vote in the election of the service address's holder, and hold nothing. Ends on SIGTERM."""
-    settings = _load_operator(operator, name or os.environ.get("EDGE_NAME") or "")
+    """Vote in the election of the service address's holder, and hold nothing.
+
+    Ends on SIGTERM; SIGHUP has it read its keys again.
+    """
+    me = name or os.environ.get("EDGE_NAME") or ""
+    settings = _load_operator(operator, me)
     if settings is None or settings.membership is None:
         click.echo("saltcourse: configuration: a witness needs an operator's file with membership", err=True)
         raise SystemExit(EXIT_CONFIG)
@@ -128,7 +132,7 @@
     set_up_logging()
     from saltcourse.membership.run import run_alone
 
-    run_alone(settings.membership)
+    run_alone(settings.membership, partial(_reread_membership, operator, me))
 
 
 @main.command("check-config")
--- a/saltcourse/membership/run.py
+++ b/saltcourse/membership/run.py
@@ -82,16 +82,20 @@
             log.warning("changed keys that a restart will read", keys=",".join(later))
 
 
-def run_alone(told: MembershipSettings) -> None:
-    """Until SIGTERM or SIGINT."""
-    asyncio.run(_alone(told))
+Reread = Callable[[], MembershipSettings | None]
 
 
-async def _alone(told: MembershipSettings) -> None:
+def run_alone(told: MembershipSettings, reread: Reread | None = None) -> None:
+    """Until SIGTERM or SIGINT; SIGHUP has the keys read again."""
+    asyncio.run(_alone(told, reread))
+
+
+async def _alone(told: MembershipSettings, reread: Reread | None) -> None:
     loop, done = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, done.set)
-    beside = Beside(told)
+    beside = Beside(told, reread)
+    loop.add_signal_handler(signal.SIGHUP, beside.reload)
     await beside.start()
     log.info("voting", me=told.me, members=len(told.seats))
     await done.wait()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -122,3 +124,26 @@
             "('protobuf', 'membership', 'emulator', 'sqlite3', 'config.operator'))])")
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
+
+
+def test_a_witness_takes_changed_keys_over_on_sighup_and_ends_on_sigterm(tmp_path: Path) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    file = write(tmp_path, GOOD.replace('me: "a"', 'me: "w"', 1).replace("[::1]:7001", f"127.0.0.1:{port}"))
+    process = subprocess.Popen([sys.executable, "-m", "saltcourse", "witness", "--operator", str(file)],
+                               stderr=subprocess.PIPE, text=True, cwd=EXAMPLE.parent.parent)
+    assert process.stderr is not None
+    try:
+        assert "event=voting" in process.stderr.readline()
+        (tmp_path / "key").write_text("cd" * 32 + "\n" + "ab" * 32)
+        process.send_signal(signal.SIGHUP)
+        assert "keys=2" in process.stderr.readline()
+        (tmp_path / "key").write_text("short")
+        process.send_signal(signal.SIGHUP)
+        assert "the old operator's file is kept" in process.stderr.readline()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait()
