--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -258,8 +258,6 @@
         elif before is Health.DUE:
             server.trial = request
         if sign is Sign.TOOK:
-            if before is not Health.USABLE:  # it starts small: what it can do now is not known
-                server.limit = min(server.limit or math.inf, server.load + FEW_SLOTS)
             server.failures, server.down_until = 0, 0.0
         elif server.health is Health.RESTING and before is not Health.RESTING:
             server.failures += 1  # what was sent before does not lengthen the rest
@@ -281,9 +279,8 @@
         A slow one may still overflow; one that drops may not, and is left alone for longer each time."""
         if self.now >= server.cut_at + CUT_EVERY:
             server.cut_at = self.now
-            # One that holds little has shown nothing of what it can hold, at first: cuts in a row halve it.
-            mean = server.slots * (self.level if server.near == 1.0 else self.far_level)
-            least = LEAST_LIMIT * min(mean, server.limit or mean)
+            # One that holds little has shown nothing of what it can hold.
+            least = LEAST_LIMIT * server.slots * (self.level if server.near == 1.0 else self.far_level)
             server.limit = max(server.load * (CUT if dropped else 1.0), least, 0.5)
             server.strains = min(server.strains + 1, 3) if dropped else server.strains
         hold = UNCLEAN * 2.0 ** max(0, server.strains - 1)
@@ -432,7 +429,7 @@
             if server.slow_until > self.now:
                 server.ceiling = min(server.ceiling, load)
             else:
-                server.limit += RECOVERY * min(level * server.size, 2 * server.limit)
+                server.limit += RECOVERY * level * server.size
                 server.ceiling = min(server.ceiling, server.limit)
         elif server.ceiling < load:  # nothing says that it is full: what it holds is no reason to refuse
             server.ceiling = load
