--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -336,18 +336,21 @@
         full = max(self.ready, key=lambda s: s.load / max(s.slots, 0.1), default=None)
         if full is None or not full.groups or self.look:
             return
-        over = math.ceil(full.load / max(full.slots, 0.1) - self._fair())
+        # One that is only tried has no room for what is moved: it would come back and be moved again.
+        well = [s for s in self.ready if s.health is Health.USABLE]
+        over = math.ceil(full.load / max(full.slots, 0.1) - self._fair(well))
         counts = sorted((count, group) for group, count in full.groups.items())
         (few, group), (_, most) = counts[0], counts[-1]
-        if over > 0:
+        if over > 0 and len(well) > 1:
             self._move([r for r in full.held.values() if r.group == most][:over])
         elif few <= STRAGGLERS and any([s.groups.get(group, 0) > few and s.load < full.load - GROUP_SLOTS
                                         for s in self.ready]):
             self._move([r for r in full.held.values() if r.group == group])
 
-    def _fair(self) -> float:
+    @staticmethod
+    def _fair(servers: list[Server]) -> float:
         """What a server of mean size may hold and still be sent more of a group that it holds."""
-        return sum([s.load for s in self.ready]) / max(1.0, sum([s.slots for s in self.ready])) + UNEVEN
+        return sum([s.load for s in servers]) / max(1.0, sum([s.slots for s in servers])) + UNEVEN
 
     def _share(self, requests: list[Request], share: float) -> list[Request]:
         count = int(share * len(requests) + self.random.random())
@@ -466,7 +469,7 @@
             return self._scan(request, among)
         if request.group:
             # Where its group costs nothing more, unless that is much fuller; else where others would go.
-            fair, able = self._fair(), [s for s in self.ready if self._allowed(request, s)]
+            fair, able = self._fair(self.ready), [s for s in self.ready if self._allowed(request, s)]
             home = (self._agreed(request.group, [s for s in able if request.group in s.groups], fair)
                     or self._agreed(request.group, able, fair))
             if home is not None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -609,3 +609,15 @@
     moved = [a.request for a in node.of(lg.Move)]
     mean = (15 + 3 + 2 * GROUP_SLOTS) / 5
     assert len(moved) == 24 - int(mean + 5) and all(name.startswith("a") for name in moved)
+
+
+def test_what_is_over_is_not_moved_towards_a_server_that_is_only_tried() -> None:
+    # An empty server whose rest is over lowered the mean: connections were moved each second, to nowhere.
+    node = Node(groups=True)
+    node.list(members(4))
+    for name in ("s0", "s1", "s2"):
+        for i in range(14):
+            node.give(lg.ConnectionResumed(f"{name}{i}", "quick", name, group=name))
+    node.balancer._sign(node.balancer.servers["s3"], Sign.FAILED)
+    node.run(4.0)
+    assert node.balancer.servers["s3"].health.name == "DUE" and not node.of(lg.Move)
