--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -336,12 +336,12 @@
         full = max(self.ready, key=lambda s: s.load / max(s.slots, 0.1), default=None)
         if full is None or not full.groups or self.look:
             return
-        # One that is only tried has no room for what is moved: it would come back and be moved again.
+        # While one rests or is tried nothing is moved: the rest is crowded, and what moves would come back.
         well = [s for s in self.ready if s.health is Health.USABLE]
         over = math.ceil(full.load / max(full.slots, 0.1) - self._fair(well))
         counts = sorted((count, group) for group, count in full.groups.items())
         (few, group), (_, most) = counts[0], counts[-1]
-        if over > 0 and len(well) > 1:
+        if over > 0 and len(well) == sum([s.state is ServerState.READY for s in self.servers.values()]):
             self._move([r for r in full.held.values() if r.group == most][:over])
         elif few <= STRAGGLERS and any([s.groups.get(group, 0) > few and s.load < full.load - GROUP_SLOTS
                                         for s in self.ready]):
