A LOAD line under 1,000 is a delay note in ms: a crowded provider no longer looks empty

The lines show why: once a second, on one connection of each proxy, an overloaded server sends the same figure on all of them at the same moment, 17.6 to 1,964 (one of 3 to 16 closes the spell); these are the notes that the settings announce (tells_delay: milliseconds that a message takes), sent as a LOAD line like that of a load in microseconds of work a second (the least seen 1,886). decider.py handed each to the module as a LoadNote, so a connection at a server 0.1 s behind counted as 0.0015 slots and the server drew more clients. Ruled out by counting: discovery (0.1 calls a request), CPU (0.29 of a core's second at start, less than 0.02 s a second later), set-up cost, and 'storm' (never true on any proxy). Change: DelayMeter.told tells the two apart; under 1 s it is a delay, longer only within a spell (a pile grows by no more than a second a second), so that a very small load is not taken for a hung server. The module is unchanged.

--- a/saltcourse/delay.py
+++ b/saltcourse/delay.py
@@ -2,11 +2,12 @@
 
 The module learns of a slow provider by delay notes: one a second for each provider while a message
 takes over a third of the shortest aim, on one of its connections, and one more when it is back
-under. Real providers send no such note, so the proxy takes the time from a consumer's line to the
-provider's next line. A line that has not been answered yet has taken at least its age.
+under. Real providers send such a note, where they send any, as a ``LOAD X`` line like that of a load, and
+only the size of the figure tells which it is. Read as a load it makes a crowded provider look empty.
 
-A provider whose echo does not queue behind its work shows nothing here while it is merely crowded; the
-module reads that from set-up times. One that hangs leaves lines unanswered, and their age tells of it.
+Besides, the proxy takes the time from a consumer's line to the provider's next line. A line that has not been
+answered yet has taken at least its age. A provider whose echo does not queue behind its work shows nothing by
+that while it is merely crowded. One that hangs leaves lines unanswered, and their age tells of it.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 NOTE_EVERY = 1.0  # s between the notes on one provider
 HUNG_AFTER = 0.7  # s without any line back on several connections; sound providers answer in milliseconds
 HUNG_LINES = 2  # connections whose unanswered lines make a provider look hung; fewer if it has fewer
+TOLD_MOST = 1000.0  # ms; a lower figure is no load: that is in microseconds of work a second, 1,900 and more
 SILENT_AFTER = 4.0  # s without a line back; clients speak every 2 s and 7 s are allowed
 
 
@@ -28,6 +30,7 @@
         self.provider: dict[str, str] = {}  # connection -> where it stands
         self.asked: dict[str, float] = {}  # connection -> when its oldest unanswered line was sent
         self.trips: dict[str, list[float]] = {}  # provider -> round trips since the last look
+        self.told_last: dict[str, tuple[float, float]] = {}  # provider -> when, and the ms
         self.noted: set[str] = set()  # providers whose last note said slow
         self.heard: dict[str, float] = {}  # provider -> when it last answered a line (unasked ones not)
 
@@ -47,6 +50,22 @@
             self.heard[self.provider[request]] = now
             self.trips.setdefault(self.provider[request], []).append(now - asked)
 
+    def told(self, request: str, figure: float, now: float) -> float | None:
+        """The delay in seconds that the figure of a ``LOAD`` line tells; None when it tells a load.
+
+        What is piled up grows by no more than a second of work a second, so that the first note of a spell is
+        short; only after such a one may a longer delay be meant by a figure that could be a very small load.
+        """
+        provider = self.provider.get(request)
+        if provider is None or self.slow == float("inf"):
+            return None
+        at, before = self.told_last.get(provider, (0.0, 0.0))
+        longer = min(before, TOLD_MOST) if now - at < 2 * NOTE_EVERY else 0.0
+        if figure >= TOLD_MOST + longer:
+            return None
+        self.told_last[provider] = now, figure
+        return figure / 1000
+
     def silent(self, now: float) -> list[str]:
         """The connections that bring nothing back."""
         return [r for r, asked in self.asked.items() if now - asked >= SILENT_AFTER and r in self.provider]
@@ -90,5 +109,6 @@
                 continue
             found.append((request, delay))
         self.noted.intersection_update(one)
+        self.told_last = {provider: told for provider, told in self.told_last.items() if provider in one}
         self.heard = {provider: at for provider, at in self.heard.items() if provider in one}
         return found
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -24,6 +24,7 @@
 from saltcourse.wire.members import Address, Listing
 
 LOOK_EVERY = 0.25  # s between looks for connections that bring nothing back
+MICRO = 1e-6  # s; providers tell loads in microseconds of work a second
 LATE = 0.1  # s by which a look may be late before it judges nobody for being silent
 SUM_EVERY = 5.0  # s between log lines that sum up what is held and believed of each provider
 
@@ -110,6 +111,9 @@
                 if message.request in self._sends:
                     self._ended_how[self._sends[message.request][1], message.status.value] += 1
                 self._handle(message)
+            case lg.LoadNote(request, load):
+                delay = self._meter.told(request, load / MICRO, self.clock.now())
+                self._handle(message if delay is None else lg.DelayNote(request, delay))
             case _:
                 self._handle(message)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -143,3 +143,23 @@
     assert meter.hung(11.0)
     meter.line_back("b", 10.9)
     assert not meter.hung(11.0)
+
+
+def test_a_load_line_under_a_second_in_milliseconds_is_a_delay_and_longer_only_after_one() -> None:
+    meter = DelayMeter(slow=0.02)
+    for request, server in (("a", "s0"), ("b", "s0"), ("c", "s1")):
+        meter.stands(request, server)
+    assert [meter.told("a", figure, 10.0) for figure in (65000.0, 1900.0, 1000.0)] == [None] * 3  # loads
+    assert meter.told("a", 900.0, 11.0) == pytest.approx(0.9)
+    assert meter.told("b", 1850.0, 12.0) == pytest.approx(1.85)  # piled up further, on another connection
+    assert meter.told("c", 1850.0, 12.0) is None  # its provider has told of no delay
+    assert meter.told("b", 1850.0, 15.0) is None  # nor has this one for a while
+    assert meter.told("b", 1.5, 16.0) == pytest.approx(0.0015)  # the last of a spell: it is back under
+    assert meter.told("unknown", 5.0, 16.0) is None
+    meter.ended("a")
+    meter.ended("b")
+    meter.notes(17.0)
+    assert set(meter.told_last) <= {"s1"}, "providers without connections are forgotten"
+    silent = DelayMeter(slow=float("inf"))  # the settings say that no such notes are sent
+    silent.stands("a", "s0")
+    assert silent.told("a", 5.0, 10.0) is None
