The check of 'balancers' that was there already is not repeated; one unit for LOAD

Cause: said that 'balancers' 0 had ended in a traceback. That was read into the code and not run, and it is wrong: Settings refuses it (interface.py), and the old program already ended with exit 2 and a message naming the key, as tried now. MICRO stands once, in wire/lines.py.

--- a/saltcourse/net/consumer.py
+++ b/saltcourse/net/consumer.py
@@ -24,7 +24,7 @@
 from saltcourse.net.doorstep import Doorstep
 from saltcourse.net.stream import Peer, PeerReset, dismiss, part, write_within
 from saltcourse.wire.lines import (
-    FAIL_LINE, MOVE_LINE, PING, PONG_LINE, BadLine, OpenLine, busy_line, load_of, read_open, word_of,
+    MICRO, FAIL_LINE, MOVE_LINE, PING, PONG_LINE, BadLine, OpenLine, busy_line, load_of, read_open, word_of,
 )
 from saltcourse.wire.members import Address
 
@@ -38,7 +38,6 @@
 CALL_ENDS = 0.005  # s before the client's time is up at which a call that still waits is given up
 RESUME_TIME = 40.0  # s for a resumed connection to stand again; its `d` says over an hour
 RESUME_AGAIN = 0.25  # s between attempts to come back to the server of a resumed connection
-MICRO = 1e-6  # LOAD tells microseconds of work a second
 
 log = structlog.get_logger("saltcourse")
 
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -21,10 +21,10 @@
     Arrived, Invocation, Left, LineBack, LineSent, Listed, MoveAll, Place, Resumed, Retract, ToDecider,
 )
 from saltcourse.policy import Balancer, Health
+from saltcourse.wire.lines import MICRO
 from saltcourse.wire.members import Address, Listing
 
 LOOK_EVERY = 0.25  # s between looks for connections that bring nothing back
-MICRO = 1e-6  # s; providers tell loads in microseconds of work a second
 LATE = 0.1  # s by which a look may be late before it judges nobody for being silent
 SUM_EVERY = 5.0  # s between log lines that sum up what is held and believed of each provider
 
--- a/saltcourse/settings.py
+++ b/saltcourse/settings.py
@@ -73,11 +73,8 @@
         lg.Tenant(field(t, "name", str), number(t, "share", 0.0), quotas[i] if i < len(quotas) else 0.0)
         for i, t in enumerate(field(env, "parties", list, []))
     )
-    balancers = field(env, "balancers", int, 1)
-    if balancers < 1:  # shares of slots and of the list's time are divided by it
-        raise Malformed(f"env: 'balancers' must be 1 or more, not {balancers}")
     return lg.Settings(
-        classes=classes, tenants=tenants, balancers=balancers,
+        classes=classes, tenants=tenants, balancers=field(env, "balancers", int, 1),
         index=field(env, "self_index", int, 0), zone=field(env, "zone", str, ""),
         zones=tuple(field(env, "failure_domains", list, [])),
         over_share_worth=number(env, "over_share_worth", 1.0),
--- a/saltcourse/wire/lines.py
+++ b/saltcourse/wire/lines.py
@@ -9,6 +9,7 @@
 import math
 from dataclasses import dataclass
 
+MICRO = 1e-6  # LOAD tells microseconds of work a second
 LONGEST_LINE = 4096  # bytes, CRLF included
 LONGEST_WAIT_MS = 60_000  # no client waits longer than a minute for UP: a larger `d` is a mistake,
 LONGEST_RESUME_MS = 86_400_000  # but on a connection from before the start, which may come at its leisure
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -47,7 +47,7 @@
     values = example()
     values["settings"] |= {"balancers": balancers}
     if read is None:
-        with pytest.raises(ConfigError, match="'balancers'"):
+        with pytest.raises(ConfigError, match="balancers"):
             read_config(values, {})
     else:
         assert read_config(values, {}).settings.balancers == read
