--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -162,7 +162,7 @@
     """Play DAYS (KIND:SEED, or a recorded day's name) several times and print how far they spread."""
     here = Path(__file__).resolve().parents[1]
     kit = (kit or here.parent / "given" / "kit").resolve()
-    program, site = kit / "real" / "bin" / "lbreal", kit / "sites" / "lima-push.toml"
+    program, site = kit / "more" / "bin" / "lbreal", kit / "sites" / "lima-push.toml"
     if not program.exists():
         click.echo(f"--kit: no bench at {program}: this benchmark needs the operators' kit", err=True)
         sys.exit(2)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -41,6 +41,18 @@
         read_config(example(**changes), {})
 
 
+@pytest.mark.parametrize(("balancers", "read"), [
+    (0, None), (-3, None), (2.5, None), ("2", None), (True, None), (40, 40), (None, 1)])
+def test_a_number_of_proxies_that_makes_no_sense_is_named(balancers: Any, read: int | None) -> None:
+    values = example()
+    values["settings"] |= {"balancers": balancers}
+    if read is None:
+        with pytest.raises(ConfigError, match="'balancers'"):
+            read_config(values, {})
+    else:
+        assert read_config(values, {}).settings.balancers == read
+
+
 @pytest.mark.parametrize("arguments", [["serve"], ["check-config"], []])
 def test_a_wrong_configuration_ends_without_a_traceback(arguments: list[str], tmp_path: Path) -> None:
     broken = tmp_path / "config.json"
