Admin address with readiness, figures and lameduck; inherited listening socket

Rejected: tornado's HTTPServer: keep-alive by default and an oversized head is closed without its 400. - Figures: saltcourse/figures.py counts where it happens (UP passed on, BUSY or ERR written, first line written whole to a provider); gauges are read off the program when asked, so they cannot drift. Rejected: counting from the decider's actions: an answer that never reached the socket (client gone, short of descriptors) would be counted there too. - Lameduck: a named phase; PING says no at once, after STILL_TAKING (0.5 s) standing connections are moved, the listener stays and the process stays; `off` takes it back and tells the decider to stop moving. Rejected: closing the listener: the front may still send a few, and they would be reset. - Replacement: $EDGE_LISTEN_FD names an inherited listening socket used instead of binding; on SIGTERM such a process stops taking at once and leaves the backlog to its heir. Rejected: SO_REUSEPORT binding: connections queued on the old socket are reset when it closes.

--- /dev/null
+++ b/saltcourse/admin/server.py
@@ -0,0 +1,139 @@
+"""The admin listener: sockets and time only; what a call means is asked of the program.
+
+Answers are owed within a second whatever the clients' side does, so the admin port has its own
+listener, its own bound on connections and its own time for a whole call. A caller that holds a
+connection without finishing its call is closed after ``CALL_TIME``; when ``MOST_CALLERS`` are open,
+the one that has been open longest is shed to make room, for a new caller must not wait on the slow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Protocol
+
+import structlog
+from tornado.iostream import IOStream, StreamClosedError
+
+from saltcourse.admin.calls import Answer, Ask, Reader, answer_bytes
+from saltcourse.wire.members import Address
+
+CALL_TIME = 2.0  # s for a whole call; operators' tools send it at once
+WRITE_TIME = 0.5  # s for the answer to be taken
+MOST_CALLERS = 32  # admin connections open at once
+READ_SIZE = 4096
+
+log = structlog.get_logger("saltcourse")
+
+
+class Operated(Protocol):
+    """What the program answers for."""
+
+    def ready(self) -> bool: ...
+
+    def figures_text(self) -> bytes: ...
+
+    def lameduck(self, on: bool) -> bool:
+        """True when the program is now as asked."""
+
+
+class AdminServer:
+    def __init__(self, address: Address, program: Operated) -> None:
+        self.address, self.program = address, program
+        self._listener: socket.socket | None = None
+        self._callers: dict[asyncio.Task[None], IOStream] = {}
+
+    def start(self) -> None:
+        """OSError when the address cannot be had."""
+        host, port = self.address
+        listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        try:
+            listener.bind((host, port))
+            listener.listen(64)
+        except OSError:
+            listener.close()
+            raise
+        self._listener = listener
+        asyncio.get_running_loop().add_reader(listener, self._take)
+
+    def bound(self) -> Address:
+        assert self._listener is not None
+        host, port = self._listener.getsockname()[:2]
+        return host, port
+
+    def stop(self) -> None:
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+        for task in list(self._callers):
+            task.cancel()
+
+    def _take(self) -> None:
+        for _ in range(16):
+            if self._listener is None:
+                return
+            try:
+                sock, _ = self._listener.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as wrong:  # short of descriptors: the caller is left in the backlog
+                log.warning("admin call not taken", reason=wrong.strerror)
+                return
+            while len(self._callers) >= MOST_CALLERS:
+                oldest = next(iter(self._callers))
+                self._callers.pop(oldest).close()
+                oldest.cancel()
+            sock.setblocking(False)
+            stream = IOStream(sock)
+            task = asyncio.get_running_loop().create_task(self._serve(stream))
+            self._callers[task] = stream
+            task.add_done_callback(self._gone)
+
+    def _gone(self, task: asyncio.Task[None]) -> None:
+        self._callers.pop(task, None)
+
+    async def _serve(self, stream: IOStream) -> None:
+        try:
+            asked = await self._read(stream)
+            if asked is None:
+                return
+            answer = asked if isinstance(asked, Answer) else self._answer(asked)
+            async with asyncio.timeout(WRITE_TIME):
+                await stream.write(answer_bytes(answer))
+        except (StreamClosedError, TimeoutError, OSError):
+            pass
+        finally:
+            stream.close()
+
+    @staticmethod
+    async def _read(stream: IOStream) -> Ask | Answer | None:
+        """None when the caller left or took too long: nobody waits for an answer then."""
+        reader = Reader()
+        async with asyncio.timeout(CALL_TIME):
+            while True:
+                try:
+                    data = await stream.read_bytes(READ_SIZE, partial=True)
+                except StreamClosedError:
+                    data = b""
+                asked = reader.feed(data)
+                if asked is not None:
+                    return asked
+                if not data:
+                    return None
+
+    def _answer(self, ask: Ask) -> Answer:
+        match ask:
+            case Ask.READY:
+                return Answer(200, b"yes\n") if self.program.ready() else Answer(503, b"no\n")
+            case Ask.VARS:
+                return Answer(200, self.program.figures_text())
+            case Ask.LAMEDUCK_ON | Ask.LAMEDUCK_OFF:
+                on = ask is Ask.LAMEDUCK_ON
+                if self.program.lameduck(on):
+                    return Answer(200, b"lameduck on\n" if on else b"lameduck off\n")
+                return Answer(409, b"the proxy is leaving\n")
+
+
--- a/saltcourse/config/__init__.py
+++ b/saltcourse/config/__init__.py
@@ -1,7 +1,7 @@
 """The one place where the program's configuration is read, checked and given its defaults.
 
-A file of JSON (``--config`` or EDGE_CONFIG) tells all; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY
-override it, so that one file can serve several proxies. When the file is read again, in a running
+A file of JSON (``--config`` or EDGE_CONFIG) tells all; EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and
+EDGE_ADMIN override it, so that one file can serve several proxies. When the file is read again, in a running
 program, it is newer than the environment and its ``discovery`` wins. Whatever is wrong raises
 ``ConfigError``, which names the key.
 """
@@ -22,7 +22,7 @@
 
 DEFAULT_LISTEN = "127.0.0.1:8081"
 DEFAULT_SOCKETS, DEFAULT_MEMORY_MB, DEFAULT_CORES = 4096, 2048, 1.0
-NEED_RESTART = ("name", "listen", "seed", "settings")  # keys that a reload leaves as they are
+NEED_RESTART = ("name", "listen", "admin", "seed", "settings")  # keys that a reload leaves as they are
 FEWEST_SOCKETS = 64  # under this not even one client could be served beside what the program holds
 
 
@@ -47,6 +47,8 @@
     known: Listing
     settings: lg.Settings
     tells_delay: bool
+    admin: Address | None = None  # the operators' address; none, and nobody can call
+    listen_fd: int | None = None  # a listening socket given by the platform, instead of binding ``listen``
 
 
 def _object(value: Any, key: str) -> dict[str, Any]:
@@ -94,7 +96,7 @@
     if not isinstance(values, dict):
         raise ConfigError("the configuration must be a JSON object")
     told = {key: environment.get(f"EDGE_{key.upper()}") or values.get(key)
-            for key in ("name", "listen", "discovery")}
+            for key in ("name", "listen", "discovery", "admin")}
     if again:
         told["discovery"] = values.get("discovery") or told["discovery"]
     settings = _object(values.get("settings"), "settings")
@@ -114,9 +116,20 @@
         discovery=_address(told["discovery"], "discovery"), seed=_seed(values.get("seed", "0")),
         limits=_limits(_object(values.get("limits"), "limits")), known=known, settings=read,
         tells_delay=bool(extra.get("tells_delay", False)),
+        admin=None if told["admin"] is None else _address(told["admin"], "admin"),
+        listen_fd=_descriptor(environment.get("EDGE_LISTEN_FD")),
     )
 
 
+def _descriptor(value: str | None) -> int | None:
+    """EDGE_LISTEN_FD: the number of an inherited listening socket, used instead of binding ``listen``."""
+    if not value:
+        return None
+    if not value.isdigit():
+        raise ConfigError(f"EDGE_LISTEN_FD: must be a descriptor's number, not {value!r}")
+    return int(value)
+
+
 def load_config(path: str | None, environment: Mapping[str, str], again: bool = False) -> Config:
     """The configuration from the file at ``path``, or else from the one that EDGE_CONFIG names."""
     path = path or environment.get("EDGE_CONFIG")
--- a/saltcourse/net/consumer.py
+++ b/saltcourse/net/consumer.py
@@ -14,6 +14,7 @@
 import structlog
 
 from saltcourse import interface as lg
+from saltcourse.figures import Figures
 from saltcourse.net.actor import Actor, spawn
 from saltcourse.net.clock import Clock
 from saltcourse.net.invoker import InvokerCall
@@ -54,8 +55,8 @@
 
     def __init__(self, settings: lg.Settings, clock: Clock, tell_decider: Callable[[ToDecider], None],
                  address_of: Callable[[str], Address | None], may_answer_ping: Callable[[], bool],
-                 short: Callable[[], bool], doorstep: Doorstep) -> None:
-        self.settings, self.clock = settings, clock
+                 short: Callable[[], bool], doorstep: Doorstep, figures: Figures) -> None:
+        self.settings, self.clock, self.figures = settings, clock, figures
         self.tell_decider, self.address_of = tell_decider, address_of
         self.may_answer_ping, self.short, self.doorstep = may_answer_ping, short, doorstep
         self.classes = frozenset(c.name for c in settings.classes)
@@ -145,6 +146,7 @@
             return
         self.host.doorstep.left(self)
         if self.host.short():
+            self.host.figures.reply(self.opened.klass, "overload")
             busy = busy_line(self.host.settings.max_retry_after)
             await dismiss(self.peer, busy, DISMISS_TIME, DISMISS_BYTES)
             return
@@ -282,6 +284,9 @@
             self._line_passed)
         self.call.start()
 
+    def dispatched(self) -> None:
+        self.host.figures.dispatched()
+
     def _line_passed(self, line: memoryview) -> None:
         load = load_of(line)
         if load is None:
@@ -294,6 +299,8 @@
             call.close()
             return
         self.stage = Stage.STANDING
+        if self.opened is not None:
+            self.host.figures.reply(self.opened.klass, "success")
         with contextlib.suppress(PeerReset):  # the reader tells of it
             await self.peer.write(line)
         if self.opened is not None and self.opened.at:
@@ -355,6 +362,8 @@
     async def _answer(self, line: bytes) -> None:
         """The final answer. The attempt that is out, if any, is given up first."""
         self.stage = Stage.ENDED
+        if self.opened is not None:
+            self.host.figures.reply(self.opened.klass, "error" if line == FAIL_LINE else "overload")
         if self.call is not None:
             self.call.close()
         self._settle(lg.Status.CANCELLED)
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -96,9 +96,9 @@
                     self._arrived.pop(request, None)
                     self._sends.pop(request, None)
                     self._ended(request)
-            case MoveAll():
-                self.moving = True
-                for request in list(self.standing):
+            case MoveAll(on):
+                self.moving = on
+                for request in list(self.standing) if on else ():
                     self._move(request)
             case lg.Established():
                 self._established(message)
@@ -127,6 +127,14 @@
         self.members.update((m.server, m) for m in listing.members)
         self._handle(lg.MembersChanged(kind, listing.members))
 
+    def targets(self) -> tuple[int, int]:
+        """Providers in the list, and those of them that the module avoids now (draining, resting, tried)."""
+        listed = [m.server for m in self.members.values() if m.state is not lg.ServerState.GONE]
+        servers = self._balancer.servers
+        avoided = sum(1 for name in listed if (server := servers.get(name)) is not None and (
+            server.state is not lg.ServerState.READY or server.health in (Health.RESTING, Health.TRIAL)))
+        return len(listed), avoided
+
     def _established(self, event: lg.Established) -> None:
         arrived, sent = self._arrived.get(event.request), self._sends.get(event.request)
         if arrived is not None and sent is not None:
--- a/saltcourse/net/invoker.py
+++ b/saltcourse/net/invoker.py
@@ -43,6 +43,9 @@
 
     async def deliver(self, line: memoryview) -> None: ...
 
+    def dispatched(self) -> None:
+        """The attempt's first line has been written whole."""
+
 
 class InvokerCall(Actor[None]):
     """One attempt. It tells its owner of UP at most once, and of its end exactly once.
@@ -93,6 +96,7 @@
                     await self.peer.connect(self._address)
                 await self.peer.write(self._line)
                 written = True
+                self.owner.dispatched()
                 line = await self._next_line()
         except TimeoutError:
             # The line cannot have run unless its last byte was written.
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -11,11 +11,12 @@
 from dataclasses import replace
 from enum import Enum
 from functools import partial
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import structlog
 
 from saltcourse.config import NEED_RESTART, Config, ConfigError
+from saltcourse.figures import Figures
 from saltcourse.net.clock import Clock
 from saltcourse.net.consumer import Consumer, Host
 from saltcourse.net.decider import Decider
@@ -25,6 +26,9 @@
 from saltcourse.net.messages import MoveAll
 from saltcourse.net.stream import Peer
 
+if TYPE_CHECKING:  # nothing of it is imported without an admin address
+    from saltcourse.admin.server import AdminServer
+
 BACKLOG = 1024  # connections that wait to be taken: most clients may come back in the same second
 TAKEN_AT_ONCE = 32  # before other work has its turn
 STILL_TAKING = 0.5  # s after SIGTERM for which the front may go on sending clients
@@ -41,6 +45,8 @@
     SERVING = "serving"  # PING is answered
     DRAINING = "draining"  # told to leave: clients are still taken, for the front still sends them
     MOVING = "moving"  # nothing new; standing connections are moved, invocations get their answers
+    LAMEDUCK = "lameduck"  # emptied by the operators: PING says no, standing connections are moved,
+    #                        and the process stays, to go back to serving when told
     STOPPED = "stopped"
 
 
@@ -67,8 +73,12 @@
         self.decider = Decider(config.settings, config.seed, self.clock, config.known, self.directory.tell,
                                config.tells_delay)
         self.doorstep = Doorstep(config.limits.sockets - OWN_SOCKETS)
+        self.figures = Figures(c.name for c in config.settings.classes)
+        self.figures.gauges = self._gauges
         self.host = Host(config.settings, self.clock, self.decider.tell, self.decider.addresses.get,
-                         self._may_answer_ping, self._short, self.doorstep)
+                         self._may_answer_ping, self._short, self.doorstep, self.figures)
+        self.admin: AdminServer | None = None
+        self._lameduck: asyncio.TimerHandle | None = None  # until standing connections are moved
         self.consumers: set[Consumer] = set()
         self.leave = asyncio.Event()
         self._listener: socket.socket | None = None
@@ -85,6 +95,11 @@
         self.decider.start()
         self.directory.start()
         self._listener = self._listen()
+        if self.config.admin is not None:
+            from saltcourse.admin.server import AdminServer  # not imported where nobody calls
+
+            self.admin = AdminServer(self.config.admin, self)
+            self.admin.start()
         self._enter(Phase.SERVING)
         if self._beside is not None:
             await self._beside.start()
@@ -94,6 +109,41 @@
         await self._drain()
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self._enter(Phase.STOPPED)
+        if self.admin is not None:
+            self.admin.stop()
+
+    # ---- what operators ask at the admin address ------------------------------------------------
+
+    def ready(self) -> bool:
+        """It can serve: it listens, has not been told to leave or to empty, and knows providers."""
+        return self.phase is Phase.SERVING and bool(self.decider.members)
+
+    def figures_text(self) -> bytes:
+        return self.figures.text()
+
+    def lameduck(self, on: bool) -> bool:
+        """Empty the program, or take it back into work; False once it is leaving for good.
+
+        As on SIGTERM, the front is given ``STILL_TAKING`` to hear PING say no before connections are moved;
+        the listener stays open, for the front may still send a few, and they are served and moved too.
+        """
+        if self.leave.is_set() or self.phase in (Phase.STARTING, Phase.STOPPED):
+            return False
+        if on and self.phase is Phase.SERVING:
+            self._enter(Phase.LAMEDUCK)
+            self._lameduck = asyncio.get_running_loop().call_later(
+                STILL_TAKING, self.decider.tell, MoveAll())
+        elif not on and self.phase is Phase.LAMEDUCK:
+            if self._lameduck is not None:
+                self._lameduck.cancel()
+                self._lameduck = None
+            self.decider.tell(MoveAll(on=False))
+            self._enter(Phase.SERVING)
+        return True
+
+    def _gauges(self) -> dict[str, int]:
+        targets, disabled = self.decider.targets()
+        return {"concurrent": len(self.consumers), "targets": targets, "targets_disabled": disabled}
 
     def reload(self) -> None:
         """Take over what a changed configuration file says; whatever stands is left as it is.
@@ -122,10 +172,16 @@
         loop = asyncio.get_running_loop()
         longest = max([LEAST_DEADLINE] + [c.deadline for c in self.config.settings.classes])
         last = loop.time() + longest + KILL_MARGIN
+        if self._lameduck is not None:
+            self._lameduck.cancel()
+        inherited, emptied = self.config.listen_fd is not None, self.phase is Phase.LAMEDUCK
         self._enter(Phase.DRAINING)
-        await asyncio.sleep(STILL_TAKING)
+        if not inherited and not emptied:
+            # The front sends clients for a moment more. Where the listening socket is shared with the
+            # process that replaces this one, the other takes them: nothing new is taken here from now on.
+            await asyncio.sleep(STILL_TAKING)
         self._enter(Phase.MOVING)
-        self._stop_listening()
+        self._stop_listening(take_first=not inherited)
         self.decider.tell(MoveAll())
         while self.consumers and loop.time() < last:
             tasks = [c.task for c in self.consumers if c.task is not None]
@@ -141,6 +197,8 @@
     # ---- taking connections ---------------------------------------------------------------------
 
     def _listen(self) -> socket.socket:
+        if self.config.listen_fd is not None:
+            return self._inherit(self.config.listen_fd)
         host, port = self.config.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
@@ -151,16 +209,29 @@
         asyncio.get_running_loop().add_reader(listener, self._take_some)
         return listener
 
+    def _inherit(self, number: int) -> socket.socket:
+        """The platform's listening socket, shared with the process that this one replaces, or its heir."""
+        listener = socket.socket(fileno=number)
+        listening = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        if listener.type != socket.SOCK_STREAM or not listening:
+            listener.detach()
+            raise OSError(errno.ENOTSOCK, f"EDGE_LISTEN_FD {number} is no listening TCP socket")
+        listener.setblocking(False)
+        asyncio.get_running_loop().add_reader(listener, self._take_some)
+        return listener
+
     def address(self) -> tuple[str, int]:
         """Where clients reach this program; the port may have been left to the system."""
         assert self._listener is not None
         host, port = self._listener.getsockname()[:2]
         return host, port
 
-    def _stop_listening(self) -> None:
-        """What has come in already is taken first: closing the listener would reset it."""
+    def _stop_listening(self, take_first: bool = True) -> None:
+        """What has come in already is taken first: closing the listener would reset it. A shared listener
+        is not reset by closing it here: what waits in it is left to the other process."""
         if self._listener is not None:
-            self._take_some(BACKLOG)
+            if take_first:
+                self._take_some(BACKLOG)
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
             self._listener = None
--- a/saltcourse/net/messages.py
+++ b/saltcourse/net/messages.py
@@ -114,7 +114,10 @@
 
 @dataclass(slots=True)
 class MoveAll:
-    """The program is about to leave: every connection that stands, or will, is moved."""
+    """The program is about to leave, or is emptied for a while: every connection that stands, or will, is
+    moved. ``on`` False ends that, when the operators take the program back into work."""
+
+    on: bool = True
 
 
 ToDecider = Arrived | Resumed | Left | Listed | LineSent | LineBack | MoveAll | lg.Event
