--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -14,6 +14,7 @@
 
 from saltcourse import interface as lg
 from saltcourse.delay import NOTE_EVERY, DelayMeter
+from saltcourse.drain import DrainPlan
 from saltcourse.net.actor import Actor
 from saltcourse.net.clock import Clock
 from saltcourse.net.invoker import ProbeCall
@@ -49,6 +50,7 @@
         self.invocations: dict[str, Invocation] = {}
         self.standing: dict[str, lg.ConnectionResumed] = {}
         self.moving = False
+        self._plan: DrainPlan | None = None  # when standing connections are moved, while moving
         self._known, self._ask, self._seed = known, ask_directory, seed
         self._sends: dict[str, tuple[int, str]] = {}  # request -> number and server of its last attempt
         self._arrived: dict[str, lg.NewRequest] = {}
@@ -96,10 +98,10 @@
                     self._arrived.pop(request, None)
                     self._sends.pop(request, None)
                     self._ended(request)
-            case MoveAll(on):
+            case MoveAll(on, begin, end):
                 self.moving = on
-                for request in list(self.standing) if on else ():
-                    self._move(request)
+                self._plan = DrainPlan(begin, end) if on else None
+                self._pace()
             case lg.Established():
                 self._established(message)
             case Rung(balancer, token):
@@ -169,11 +171,20 @@
             self._noted = now
             for request, delay in self._meter.notes(now):
                 self._handle(lg.DelayNote(request, delay))
+        self._pace()
         if now - self._summed >= SUM_EVERY:
             self._summed = now
             self._sum_up(now)
         asyncio.get_running_loop().call_later(LOOK_EVERY, self._look)
 
+    def _pace(self) -> None:
+        """Move what the drain plan says is due; the plan's times are the loop's, as the looks are."""
+        if self._plan is None:
+            return
+        due = self._plan.due(asyncio.get_running_loop().time(), len(self.standing), LOOK_EVERY)
+        for request in list(self.standing)[:due]:
+            self._move(request)
+
     def _sum_up(self, now: float) -> None:
         """For whoever asks why connections went where they went: connections that stand there, the module's
         occupancy over its ceiling, why nothing new goes there, and how attempts and connections ended."""
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -32,7 +32,9 @@
 BACKLOG = 1024  # connections that wait to be taken: most clients may come back in the same second
 TAKEN_AT_ONCE = 32  # before other work has its turn
 STILL_TAKING = 0.5  # s after SIGTERM for which the front may go on sending clients
-LEAST_DEADLINE, KILL_MARGIN = 3.0, 0.35  # s; SIGKILL comes 0.7 s after the longest deadline
+MOST_DEADLINE, KILL_MARGIN = 3.0, 0.35  # s; SIGKILL comes 0.7 s after the longest deadline, 3 s at most
+EMPTIED_BY = 4.0  # s after lameduck/on by which the operators want every client moved
+LAST_MOVE = 0.5  # s between the last MOVE and the end: clients leave at once, the looks may be late
 OWN_SOCKETS = 24  # descriptors for the list, the loop, probes and what the interpreter holds
 WARN_EVERY = 5.0  # s between warnings of the same shortage
 PAUSE = 0.05  # s without taking connections when there is no descriptor for another
@@ -131,8 +133,9 @@
             return False
         if on and self.phase is Phase.SERVING:
             self._enter(Phase.LAMEDUCK)
-            self._lameduck = asyncio.get_running_loop().call_later(
-                STILL_TAKING, self.decider.tell, MoveAll())
+            loop = asyncio.get_running_loop()
+            begin, end = loop.time() + STILL_TAKING, loop.time() + EMPTIED_BY - 2 * LAST_MOVE
+            self._lameduck = loop.call_later(STILL_TAKING, self.decider.tell, MoveAll(True, begin, end))
         elif not on and self.phase is Phase.LAMEDUCK:
             if self._lameduck is not None:
                 self._lameduck.cancel()
@@ -170,7 +173,8 @@
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
-        longest = max([LEAST_DEADLINE] + [c.deadline for c in self.config.settings.classes])
+        deadlines = [c.deadline for c in self.config.settings.classes]
+        longest = min(MOST_DEADLINE, max(deadlines, default=MOST_DEADLINE))
         last = loop.time() + longest + KILL_MARGIN
         if self._lameduck is not None:
             self._lameduck.cancel()
@@ -182,7 +186,8 @@
             await asyncio.sleep(STILL_TAKING)
         self._enter(Phase.MOVING)
         self._stop_listening(take_first=not inherited)
-        self.decider.tell(MoveAll())
+        # Spread, for whoever takes the moved clients over sets them up anew; all by LAST_MOVE before the end.
+        self.decider.tell(MoveAll(True, loop.time(), last - LAST_MOVE))
         while self.consumers and loop.time() < last:
             tasks = [c.task for c in self.consumers if c.task is not None]
             await asyncio.wait(tasks, timeout=max(0.0, last - loop.time()))
--- a/saltcourse/net/messages.py
+++ b/saltcourse/net/messages.py
@@ -115,9 +115,12 @@
 @dataclass(slots=True)
 class MoveAll:
     """The program is about to leave, or is emptied for a while: every connection that stands, or will, is
-    moved. ``on`` False ends that, when the operators take the program back into work."""
+    moved. ``on`` False ends that, when the operators take the program back into work. Those that stand are
+    moved between ``begin`` and ``end`` (loop time), spread out; 0 and 0 is at once."""
 
     on: bool = True
+    begin: float = 0.0
+    end: float = 0.0
 
 
 ToDecider = Arrived | Resumed | Left | Listed | LineSent | LineBack | MoveAll | lg.Event
