--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,113 @@
+"""Replacing the process: two real processes share one inherited listening socket, as the platform does it.
+
+The old one, on SIGTERM, stops taking at once, moves its standing client and exits by itself; every
+client that connects meanwhile is heard by one of the two, none refused, reset or left unread.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from tests.test_admin import free_port, values
+
+CLIENTS = 60
+
+
+def push_server() -> tuple[socket.socket, threading.Thread]:
+    """A stand-in push server: UP to every OPEN, then holds the connection until the other side ends."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve(connection: socket.socket) -> None:
+        with connection:
+            if connection.recv(4096).startswith(b"OPEN "):
+                connection.sendall(b"UP 1\r\n")
+                while connection.recv(4096):
+                    pass
+
+    def take() -> None:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(connection,), daemon=True).start()
+
+    thread = threading.Thread(target=take, daemon=True)
+    thread.start()
+    return listener, thread
+
+
+def admin_says(port: int, path: str) -> int:
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=1.0) as caller:
+            caller.sendall(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+            return int(caller.recv(4096).split()[1])
+    except OSError:
+        return 0
+
+
+def start(config: Path, admin: int, listener: socket.socket) -> subprocess.Popen[bytes]:
+    environment = os.environ | {"EDGE_ADMIN": f"127.0.0.1:{admin}", "EDGE_LISTEN_FD": str(listener.fileno())}
+    process = subprocess.Popen([sys.executable, "-m", "saltcourse", "serve", "--config", str(config)],
+                               env=environment, pass_fds=(listener.fileno(),), stderr=subprocess.DEVNULL,
+                               cwd=Path(__file__).parent.parent)
+    for _ in range(200):
+        if admin_says(admin, "/_ready") == 200:
+            return process
+        time.sleep(0.05)
+    process.kill()
+    raise AssertionError("the process never said it was ready")
+
+
+def pings(address: tuple[str, int], answers: list[bytes]) -> None:
+    for _ in range(CLIENTS):
+        try:
+            with socket.create_connection(address, timeout=2.0) as client:
+                client.sendall(b"PING\r\n")
+                answers.append(client.recv(64))
+        except OSError as wrong:
+            answers.append(str(wrong).encode())
+        time.sleep(0.02)
+
+
+def test_the_old_process_hands_over_without_turning_anyone_away(tmp_path: Path) -> None:
+    server, _ = push_server()
+    config = values(known={"version": 1, "full": True, "servers": [
+        {"id": "s1", "state": "SERVING", "addr": "127.0.0.1:%d" % server.getsockname()[1]}]})
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+    address = listener.getsockname()
+    old_admin, new_admin = free_port(), free_port()
+    old = start(path, old_admin, listener)
+    standing = socket.create_connection(address, timeout=3.0)
+    standing.sendall(b"OPEN r1 x c=live-feed,d=1000\r\n")
+    assert standing.recv(64) == b"UP 1\r\n"
+    new = start(path, new_admin, listener)
+    try:
+        answers: list[bytes] = []
+        clients = threading.Thread(target=pings, args=(address, answers))
+        clients.start()
+        time.sleep(0.2)
+        old.send_signal(signal.SIGTERM)
+        assert standing.recv(64) == b"MOVE\r\n"  # told, not cut
+        assert old.wait(timeout=3.0) == 0  # by itself, before the platform's SIGKILL would come
+        clients.join()
+        assert answers == [b"PONG\r\n"] * CLIENTS
+        assert admin_says(new_admin, "/_ready") == 200
+    finally:
+        for process in (old, new):
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        standing.close()
+        server.close()
+        listener.close()
