--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -81,7 +81,7 @@
 def test_the_old_process_hands_over_without_turning_anyone_away(tmp_path: Path) -> None:
     server, _ = push_server()
     config = values(known={"version": 1, "full": True, "servers": [
-        {"id": "s1", "state": "SERVING", "addr": "127.0.0.1:%d" % server.getsockname()[1]}]})
+        {"id": "s1", "state": "SERVING", "addr": f"127.0.0.1:{server.getsockname()[1]}"}]})
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config))
     listener = socket.create_server(("127.0.0.1", 0), backlog=128)
