svc.concurrent counts connections asked for and not ended, not idle or PING ones

Design: the gauge counts consumers that have read an OPEN and wait for their answer or stand; those that only sit or PING are no connection that a client asked for.

--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -18,7 +18,7 @@
 from saltcourse.config import NEED_RESTART, Config, ConfigError
 from saltcourse.figures import Figures
 from saltcourse.net.clock import Clock
-from saltcourse.net.consumer import Consumer, Host
+from saltcourse.net.consumer import Consumer, Host, Stage
 from saltcourse.net.decider import Decider
 from saltcourse.net.directory import Directory, Relocate
 from saltcourse.net.doorstep import Doorstep
@@ -146,7 +146,9 @@
 
     def _gauges(self) -> dict[str, int]:
         targets, disabled = self.decider.targets()
-        return {"concurrent": len(self.consumers), "targets": targets, "targets_disabled": disabled}
+        # Connections that clients asked for and that have not ended; not those that only sit or PING.
+        taken = sum(1 for c in self.consumers if c.stage in (Stage.WAITING, Stage.STANDING))
+        return {"concurrent": taken, "targets": targets, "targets_disabled": disabled}
 
     def reload(self) -> None:
         """Take over what a changed configuration file says; whatever stands is left as it is.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -46,12 +46,20 @@
 
 
 def admin_says(port: int, path: str) -> int:
+    return admin_answer(port, path)[0]
+
+
+def admin_answer(port: int, path: str) -> tuple[int, bytes]:
     try:
         with socket.create_connection(("127.0.0.1", port), timeout=1.0) as caller:
             caller.sendall(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
-            return int(caller.recv(4096).split()[1])
+            answer = b""
+            while part := caller.recv(4096):
+                answer += part
+            head, _, body = answer.partition(b"\r\n\r\n")
+            return int(head.split()[1]), body
     except OSError:
-        return 0
+        return 0, b""
 
 
 def start(config: Path, admin: int, listener: socket.socket) -> subprocess.Popen[bytes]:
@@ -91,6 +99,10 @@
     standing = socket.create_connection(address, timeout=3.0)
     standing.sendall(b"OPEN r1 x c=live-feed,d=1000\r\n")
     assert standing.recv(64) == b"UP 1\r\n"
+    idle = socket.create_connection(address)  # says nothing: no connection asked for, not counted
+    figures = admin_answer(old_admin, "/_vars")[1].decode().split()
+    assert {"svc.replies.live-feed.success:1|c", "svc.dispatches:1|c", "svc.concurrent:1|g",
+            "svc.targets:1|g", "svc.targets_disabled:0|g"} <= set(figures)
     new = start(path, new_admin, listener)
     try:
         answers: list[bytes] = []
@@ -109,5 +121,6 @@
                 process.kill()
                 process.wait()
         standing.close()
+        idle.close()
         server.close()
         listener.close()
