--- /dev/null
+++ b/tests/test_hard_days.py
@@ -0,0 +1,91 @@
+"""Hard days against a running proxy on loopback: lines cut at any byte, the silent by the hundred with few
+descriptors, the half-written, and clients that walk away. Each ends as the protocol says, in bounded
+time, and the proxy holds no more descriptors than it was given."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import Any
+
+from saltcourse.config import read_config
+from saltcourse.net.consumer import FIRST_LINE_TIME
+from saltcourse.net.lifecycle import Lifecycle, Phase
+from saltcourse.net.stream import Peer
+from tests.test_admin import values
+from tests.test_handover import push_server
+
+SOCKETS = 96  # a small platform's descriptors, and the crowd several times as many
+CROWD = 400
+
+
+async def proxy_beside(server: socket.socket) -> tuple[Lifecycle, asyncio.Task[None]]:
+    config: dict[str, Any] = values(known={"version": 1, "full": True, "servers": [
+        {"id": "s1", "state": "SERVING", "addr": f"127.0.0.1:{server.getsockname()[1]}"}]})
+    config["limits"]["sockets"] = SOCKETS
+    proxy = Lifecycle(read_config(config, {}))
+    running = asyncio.get_running_loop().create_task(proxy.run())
+    while proxy.phase is not Phase.SERVING:
+        await asyncio.sleep(0.01)
+    return proxy, running
+
+
+async def open_in_pieces(address: tuple[str, int], line: bytes, cut: int) -> bytes:
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        for piece in (line[:cut], line[cut:]):
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        return await asyncio.wait_for(reader.readline(), 2.0)
+    finally:
+        writer.close()
+
+
+async def hard_days() -> None:
+    server, _ = push_server()
+    proxy, running = await proxy_beside(server)
+    address = proxy.address()
+    line = b"OPEN r%d x c=live-feed,d=1000\r\n"
+    # Cut at every byte: each is a whole line once its last byte is there, and placed.
+    for cut in range(1, len(line % 0)):
+        assert await open_in_pieces(address, line % cut, cut) == b"UP 1\r\n"
+    # Half a line, then silence: the proxy ends it by itself, within the time for a first line.
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(b"OPEN half")
+    began = asyncio.get_running_loop().time()
+    assert await asyncio.wait_for(reader.read(), FIRST_LINE_TIME + 2.0) in (b"", b"ERR\r\n")
+    assert asyncio.get_running_loop().time() - began < FIRST_LINE_TIME + 1.0
+    writer.close()
+    # A crowd that says nothing or half a line, many times what the proxy may hold.
+    crowd = []
+    for number in range(CROWD):
+        sock = socket.socket()
+        sock.setblocking(False)
+        with contextlib.suppress(BlockingIOError):  # it goes on connecting
+            sock.connect(address)
+        if number % 2:
+            await asyncio.sleep(0)
+            with contextlib.suppress(OSError):  # not connected yet, or shed already: both are fine
+                sock.send(b"OPEN cro")
+        crowd.append(sock)
+    await asyncio.sleep(0.3)
+    assert Peer.held <= SOCKETS  # what the proxy holds stays within its descriptors
+    # Beside the crowd, a client that speaks is served; one that walks away costs nothing.
+    assert await open_in_pieces(address, b"OPEN late x c=live-feed,d=1000\r\n", 5) == b"UP 1\r\n"
+    for number in range(20):
+        _, walker = await asyncio.open_connection(*address)
+        walker.write(b"OPEN w%d x c=live-feed,d=1000\r\n" % number)
+        walker.transport.abort()  # gone, with a reset, before any answer
+    assert await open_in_pieces(address, b"OPEN after x c=live-feed,d=1000\r\n", 7) == b"UP 1\r\n"
+    for sock in crowd:
+        sock.close()
+    proxy.leave.set()
+    await asyncio.wait_for(running, 5.0)
+    assert proxy.phase is Phase.STOPPED
+    server.close()
+
+
+def test_hard_days_end_as_the_protocol_says_within_bounds() -> None:
+    asyncio.run(hard_days())
