Addresses that cannot be had name their key: admin, EDGE_LISTEN_FD or listen

Cause, tried as a new user would: with the admin address taken, or EDGE_LISTEN_FD naming a descriptor that is not open, the proxy said "'listen': cannot listen on 127.0.0.1:8081" and named the clients' address, which was free. Every OSError at the start was taken for the listener's.

Change: Lifecycle raises CannotListen with the key ('listen', 'admin' or 'EDGE_LISTEN_FD') and what it tried; the command line prints it and exits 3 as before. Malformed values still exit 2.

Measured: tests/test_config.py runs the four cases as processes (exit 2, 2, 3, 3, no traceback).

--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -13,6 +13,7 @@
 
 from saltcourse import __version__
 from saltcourse.config import Config, ConfigError, load_config
+from saltcourse.net.lifecycle import CannotListen
 from saltcourse.net.lifecycle import serve as serve_forever
 
 if TYPE_CHECKING:  # nothing of it is imported without an operator's file
@@ -99,6 +100,9 @@
         beside = Beside(settings.membership, partial(_reread_membership, operator, config.name))
     try:
         serve_forever(config, partial(load_config, path, os.environ, again=True), beside)
+    except CannotListen as wrong:
+        click.echo(f"saltcourse: {wrong}", err=True)
+        raise SystemExit(EXIT_LISTEN) from None
     except OSError as wrong:
         host, port = config.listen
         click.echo(f"saltcourse: 'listen': cannot listen on {host}:{port}: {wrong.strerror}", err=True)
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -42,6 +42,13 @@
 log = structlog.get_logger("saltcourse")
 
 
+class CannotListen(Exception):
+    """An address or descriptor to listen on cannot be had; says which key of the configuration names it."""
+
+    def __init__(self, key: str, where: str, wrong: OSError) -> None:
+        super().__init__(f"'{key}': cannot listen on {where}: {wrong.strerror or wrong}")
+
+
 class Phase(Enum):
     STARTING = "starting"  # nothing is open yet
     SERVING = "serving"  # PING is answered
@@ -101,7 +108,10 @@
             from saltcourse.admin.server import AdminServer  # not imported where nobody calls
 
             self.admin = AdminServer(self.config.admin, self)
-            self.admin.start()
+            try:
+                self.admin.start()
+            except OSError as wrong:
+                raise CannotListen("admin", "{}:{}".format(*self.config.admin), wrong) from None
         self._enter(Phase.SERVING)
         if self._beside is not None:
             await self._beside.start()
@@ -205,7 +215,16 @@
 
     def _listen(self) -> socket.socket:
         if self.config.listen_fd is not None:
-            return self._inherit(self.config.listen_fd)
+            try:
+                return self._inherit(self.config.listen_fd)
+            except OSError as wrong:
+                raise CannotListen("EDGE_LISTEN_FD", f"descriptor {self.config.listen_fd}", wrong) from None
+        try:
+            return self._bind()
+        except OSError as wrong:
+            raise CannotListen("listen", "{}:{}".format(*self.config.listen), wrong) from None
+
+    def _bind(self) -> socket.socket:
         host, port = self.config.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
@@ -222,7 +241,7 @@
         listening = listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
         if listener.type != socket.SOCK_STREAM or not listening:
             listener.detach()
-            raise OSError(errno.ENOTSOCK, f"EDGE_LISTEN_FD {number} is no listening TCP socket")
+            raise OSError(errno.ENOTSOCK, "no listening TCP socket")
         listener.setblocking(False)
         asyncio.get_running_loop().add_reader(listener, self._take_some)
         return listener
@@ -293,8 +312,8 @@
 
 def serve(config: Config, reread: Callable[[], Config] | None = None,
           beside: Companion | None = None) -> None:
-    """Run the program; OSError when it cannot listen."""
+    """Run the program; CannotListen when it cannot listen."""
     asyncio.run(Lifecycle(config, reread, beside).run())
 
 
-__all__ = ["Lifecycle", "Phase", "serve"]
+__all__ = ["CannotListen", "Lifecycle", "Phase", "serve"]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -67,3 +71,30 @@
     assert result.exit_code == 0 and "127.0.0.1:8081" in result.output
     assert runner.invoke(main, ["version"]).output.startswith("saltcourse ")
     assert "no configuration" in runner.invoke(main, ["serve"], env={"EDGE_CONFIG": ""}).stderr
+
+
+@pytest.mark.parametrize(("environment", "named", "code"), [
+    ({"EDGE_ADMIN": "nowhere"}, "'admin': must be host:port", 2),
+    ({"EDGE_LISTEN_FD": "three"}, "EDGE_LISTEN_FD: must be a descriptor's number", 2),
+    ({"EDGE_LISTEN_FD": "987"}, "'EDGE_LISTEN_FD': cannot listen on descriptor 987", 3),
+    ({"EDGE_ADMIN": "TAKEN"}, "'admin': cannot listen on 127.0.0.1:", 3),
+])
+def test_a_second_address_or_descriptor_that_cannot_be_had_is_named(
+        environment: dict[str, str], named: str, code: int, tmp_path: Path) -> None:
+    taken = socket.create_server(("127.0.0.1", 0))
+    values = example(listen=f"127.0.0.1:{_free()}")
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(values))
+    where = f"127.0.0.1:{taken.getsockname()[1]}"
+    told = {key: value.replace("TAKEN", where) for key, value in environment.items()}
+    ran = subprocess.run([sys.executable, "-m", "saltcourse", "serve", "--config", str(path)],
+                         capture_output=True, env=os.environ | told, timeout=20, cwd=EXAMPLE.parent.parent)
+    taken.close()
+    assert ran.returncode == code and named in ran.stderr.decode() and b"Traceback" not in ran.stderr
+
+
+def _free() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
