--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,6 +15,7 @@
 
 from saltcourse.cli import main
 from saltcourse.config import ConfigError, read_config
+from tests.test_admin import free_port
 
 EXAMPLE = Path(__file__).parent.parent / "example" / "config.json"
 
@@ -82,7 +83,7 @@
 def test_a_second_address_or_descriptor_that_cannot_be_had_is_named(
         environment: dict[str, str], named: str, code: int, tmp_path: Path) -> None:
     taken = socket.create_server(("127.0.0.1", 0))
-    values = example(listen=f"127.0.0.1:{_free()}")
+    values = example(listen=f"127.0.0.1:{free_port()}")
     path = tmp_path / "config.json"
     path.write_text(json.dumps(values))
     where = f"127.0.0.1:{taken.getsockname()[1]}"
@@ -91,10 +92,3 @@
                          capture_output=True, env=os.environ | told, timeout=20, cwd=EXAMPLE.parent.parent)
     taken.close()
     assert ran.returncode == code and named in ran.stderr.decode() and b"Traceback" not in ran.stderr
-
-
-def _free() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
