Decider: moving is whether a drain plan is held; answers name their outcome

Need: a stranger's reading of the change found state that could be derived (the decider's 'moving' flag beside its drain plan, set and cleared together) and a figure inferred from the bytes of the answer (ERR or else BUSY) rather than said where the answer is chosen.

Change: 'moving' is gone, the plan alone says it; Consumer._answer takes the outcome.

--- a/saltcourse/net/consumer.py
+++ b/saltcourse/net/consumer.py
@@ -256,9 +256,9 @@
             case ClientEnded(reset):
                 await self._client_ended(reset)
             case lg.Refuse(_, retry_after) if self.stage is Stage.WAITING:
-                await self._answer(busy_line(retry_after))
+                await self._answer(busy_line(retry_after), "overload")
             case lg.Fail() if self.stage is Stage.WAITING:
-                await self._answer(FAIL_LINE)
+                await self._answer(FAIL_LINE, "error")
             case lg.Move() if self.stage is Stage.STANDING:
                 await self._move()
             case Retract(attempt) if self.stage is Stage.WAITING and self._owed is not None:
@@ -267,7 +267,7 @@
             case Forfeit(reason) if self.stage is Stage.WAITING:
                 log.info("failed without the module", request=self.request, reason=reason)
                 self.host.tell_decider(lg.ClientGone(self.request))
-                await self._answer(FAIL_LINE)
+                await self._answer(FAIL_LINE, "error")
 
     def _place(self, place: Place) -> None:
         if self.stage is not Stage.WAITING or self._owed is not None or self.opened is None:
@@ -359,11 +359,11 @@
                 status = message.status
         return status
 
-    async def _answer(self, line: bytes) -> None:
+    async def _answer(self, line: bytes, outcome: str) -> None:
         """The final answer. The attempt that is out, if any, is given up first."""
         self.stage = Stage.ENDED
         if self.opened is not None:
-            self.host.figures.reply(self.opened.klass, "error" if line == FAIL_LINE else "overload")
+            self.host.figures.reply(self.opened.klass, outcome)
         if self.call is not None:
             self.call.close()
         self._settle(lg.Status.CANCELLED)
@@ -397,7 +397,7 @@
         if self.opened is None:
             return
         if status not in lg.NEVER_RAN or self.deadline - self.host.clock.now() < 2 * RESUME_AGAIN:
-            await self._answer(FAIL_LINE)
+            await self._answer(FAIL_LINE, "error")
             return
         await asyncio.sleep(RESUME_AGAIN)
         self._resume(self.opened)
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -49,8 +49,7 @@
         self.members: dict[str, lg.Member] = {}
         self.invocations: dict[str, Invocation] = {}
         self.standing: dict[str, lg.ConnectionResumed] = {}
-        self.moving = False
-        self._plan: DrainPlan | None = None  # when standing connections are moved, while moving
+        self._plan: DrainPlan | None = None  # when standing connections are moved; None: nothing is
         self._known, self._ask, self._seed = known, ask_directory, seed
         self._sends: dict[str, tuple[int, str]] = {}  # request -> number and server of its last attempt
         self._arrived: dict[str, lg.NewRequest] = {}
@@ -88,7 +87,7 @@
                 self.invocations.setdefault(event.request, invocation)
                 self._stands(event)
                 self._handle(event)
-                if self.moving:
+                if self._plan is not None:
                     self._move(event.request)
             case Listed(kind, listing):
                 self._listed(kind, listing)
@@ -99,7 +98,6 @@
                     self._sends.pop(request, None)
                     self._ended(request)
             case MoveAll(on, begin, end):
-                self.moving = on
                 self._plan = DrainPlan(begin, end) if on else None
                 self._pace()
             case lg.Established():
@@ -143,7 +141,7 @@
             self._stands(lg.ConnectionResumed(
                 event.request, arrived.klass, sent[1], arrived.tenant, arrived.load_hint, arrived.group))
         self._handle(event)
-        if self.moving:
+        if self._plan is not None:
             self._move(event.request)
 
     def _stands(self, connection: lg.ConnectionResumed) -> None:
