Module learns the reported load at which messages turn slow, instead of a fixed 0.85

Change: each delay note from a server with a fresh report that the target misjudges (slow below it, quick above it) moves the target by 0.01, within [SPREAD, TARGET]. Test: learned down and up, a fixed target fails it.

--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -31,7 +31,8 @@
 UNCLEAN = 2.0  # s that a server counts as having lately refused, dropped or been slow; doubles
 CUT_EVERY = 1.0  # s between cuts: one jam drops many connections at once and is one sign
 BREAKS_WITHIN = 1.0  # s in which a second reset tells that a server drops connections
-TARGET = 0.85  # reported load at which a server has no free slot
+TARGET = 0.85  # reported load at which a server has no free slot, at most; lower where messages slow below it
+TARGET_STEP = 0.01  # of reported load that the target moves for each message that it misjudged
 SPREAD = 0.1  # free slots reach this much reported load above the fleet's mean
 FIRST_BACKOFF = 0.5  # s that a server is left alone after its first silent failure; doubles
 LONGEST_BACKOFF = 8.0  # s; about what the list needs to notice a dead server
@@ -99,8 +100,7 @@
         self.count = 0
         self.held: dict[str, Request] = {}  # connections that stand there
         self.groups: dict[str, int] = {}  # connections of each group, where a group has a cost of its own
-        self.size = self.slots = 1.0  # capacity over the fleet's mean; that by what a cold one can do now
-        self.near = 1.0  # what a free slot counts here: 1 at home
+        self.size = self.slots = self.near = 1.0  # size over the mean; that while cold; a slot here
         self.update(member)
         self.forget(-1e9)
 
@@ -167,7 +167,7 @@
         self.retries = RETRY_BURST  # further attempts that may be sent now
         self.level = self.far_level = 0.0  # ceiling of a mean server of which nothing is learned
         self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
-        self.per_load, self.mean_report = 0.0, 0.5  # this node's slots for a server's whole load; 0 = unknown
+        self.per_load, self.mean_report, self.target = 0.0, 0.5, TARGET  # slots for a server's whole load
         self.look = settings.reports_load and settings.may_probe
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self.slow_message = min(aims) / 3 if aims else float("inf")
@@ -293,8 +293,10 @@
         request = self.requests.get(event.request)
         if request is None or request.server is None:
             return
-        server = request.server
-        if event.delay > self.slow_message:
+        server, slow = request.server, event.delay > self.slow_message
+        if server.report_at > self.now - REPORT_STALE and slow == (server.report_load < self.target):
+            self.target = min(TARGET, max(SPREAD, self.target + TARGET_STEP * (-1 if slow else 1)))
+        if slow:
             # A reported load says it better, but not that work is piled up: late whatever the load.
             failing = event.delay > SHED_ANYWAY * self.slow_message
             if failing or not self.look:
@@ -444,7 +446,7 @@
             server.ceiling = 0.0 if server.unclean_until > self.now else server.load
             return
         told = server.report_load if server.report_at > self.now - REPORT_STALE else self.mean_report
-        target = min(TARGET, self.mean_report + SPREAD)
+        target = min(self.target, self.mean_report + SPREAD)
         slots = max(FEW_SLOTS, self.per_load) * server.slots
         server.ceiling = server.load + slots * max(0.0, target - told)
         self._grown(server)
@@ -531,7 +533,7 @@
 
     def _clean(self, server: Server) -> bool:
         return server.unclean_until <= self.now and (
-            server.report_load < TARGET or server.report_at < self.now - REPORT_STALE)
+            server.report_load < self.target or server.report_at < self.now - REPORT_STALE)
 
     # ---- the life of a request ------------------------------------------------------------------
 
@@ -567,9 +569,8 @@
     def _on_resumed(self, event: ConnectionResumed) -> None:
         request = self._request(event, 0.0, "")
         request.attempts, request.out, request.begun = 1, True, True
-        server = self.servers.get(event.server)
-        if server is None:  # held by a server that no list has named: counted, never sent to
-            server = Server(Member(event.server, ServerState.GONE))
+        # One held by a server that no list has named is counted there, and never sent to.
+        server = self.servers.get(event.server) or Server(Member(event.server, ServerState.GONE))
         request.server = server
         self._occupy(server, request)
         server.held[request.id] = request
@@ -640,8 +641,7 @@
         request = self.requests.get(event.request)
         if request is None or request.server is None or event.attempt != request.attempts - 1:
             return
-        server, request.begun, request.began = request.server, True, self.now
-        self.stood += 1
+        server, request.begun, request.began, self.stood = request.server, True, self.now, self.stood + 1
         server.held[request.id] = request
         server.errors *= 1 - ERROR_GAIN
         if request.suspect is not None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -621,3 +621,34 @@
     node.balancer._sign(node.balancer.servers["s3"], Sign.FAILED)
     node.run(4.0)
     assert node.balancer.servers["s3"].health.name == "DUE" and not node.of(lg.Move)
+
+
+def test_the_load_at_which_messages_turn_slow_is_learned_from_reports() -> None:
+    # Servers that slow down well below a reported load of TARGET must not be filled up to it; a fixed
+    # target would keep treating a server at 0.7 as clean and overflow onto it.
+    node = Node(reports_load=True, may_probe=True)
+    node.list(members(2))
+    node.give(lg.ConnectionResumed("c0", "quick", "s0"))
+    node.give(lg.ConnectionResumed("c1", "quick", "s1"))
+    balancer, (s0, s1) = node.balancer, (node.balancer.servers[n] for n in ("s0", "s1"))
+    for _ in range(40):  # slow messages from a server that reports 0.6
+        node.give(lg.ProbeResult("s0", lg.Status.OK, report=lg.LoadReport(load=0.6)))
+        node.give(lg.DelayNote("c0", QUICK.message_aim))
+    assert 0.58 <= balancer.target <= 0.61
+    node.give(lg.ProbeResult("s1", lg.Status.OK, report=lg.LoadReport(load=0.7)))
+    assert not balancer._clean(s1)
+    for _ in range(40):  # quick messages from a server above the target raise it again, never past TARGET
+        node.give(lg.ProbeResult("s1", lg.Status.OK, report=lg.LoadReport(load=0.9)))
+        node.give(lg.DelayNote("c1", 0.001))
+    assert balancer.target == pytest.approx(0.85)
+    node.give(lg.ProbeResult("s0", lg.Status.OK, report=lg.LoadReport(load=0.7)))
+    assert balancer._clean(s0)
+
+
+def test_delay_notes_without_a_fresh_report_leave_the_target() -> None:
+    node = Node(reports_load=True, may_probe=True)
+    node.list(members(1))
+    node.give(lg.ConnectionResumed("c0", "quick", "s0"))
+    for _ in range(20):
+        node.give(lg.DelayNote("c0", QUICK.message_aim))
+    assert node.balancer.target == pytest.approx(0.85)
