--- a/saltcourse/config/__init__.py
+++ b/saltcourse/config/__init__.py
@@ -132,13 +132,14 @@
 
 def load_config(path: str | None, environment: Mapping[str, str], again: bool = False) -> Config:
     """The configuration from the file at ``path``, or else from the one that EDGE_CONFIG names."""
+    named = "--config" if path else "EDGE_CONFIG"  # the error names what the operator gave
     path = path or environment.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("no configuration: give --config FILE or set EDGE_CONFIG")
     try:
         text = Path(path).read_bytes()
     except OSError as wrong:
-        raise ConfigError(f"EDGE_CONFIG {path}: {wrong.strerror}") from None
+        raise ConfigError(f"{named} {path}: {wrong.strerror}") from None
     try:
         values = orjson.loads(text)
     except orjson.JSONDecodeError as wrong:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -72,6 +72,8 @@
     assert result.exit_code == 0 and "127.0.0.1:8081" in result.output
     assert runner.invoke(main, ["version"]).output.startswith("saltcourse ")
     assert "no configuration" in runner.invoke(main, ["serve"], env={"EDGE_CONFIG": ""}).stderr
+    missing = runner.invoke(main, ["check-config", "--config", "/no/such.json"], env={"EDGE_CONFIG": "x"})
+    assert missing.exit_code == 2 and "--config /no/such.json" in missing.stderr
 
 
 @pytest.mark.parametrize(("environment", "named", "code"), [
