One listener function for clients and the admin address; a failed bind closes its socket

Cause: AdminServer.start wrote Lifecycle._bind again (family, SO_REUSEADDR, bind, listen, add_reader), and only the admin copy closed the socket when the address could not be had. Change: net/stream.listening does it once, closing on OSError; both callers use it.

--- a/saltcourse/admin/server.py
+++ b/saltcourse/admin/server.py
@@ -16,12 +16,14 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from saltcourse.admin.calls import Answer, Ask, Reader, answer_bytes
+from saltcourse.net.stream import listening
 from saltcourse.wire.members import Address
 
 CALL_TIME = 2.0  # s for a whole call; operators' tools send it at once
 WRITE_TIME = 0.5  # s for the answer to be taken
 MOST_CALLERS = 32  # admin connections open at once
 READ_SIZE = 4096
+BACKLOG = 64  # callers that wait to be taken; operators' tools call one at a time
 
 log = structlog.get_logger("saltcourse")
 
@@ -45,18 +47,7 @@
 
     def start(self) -> None:
         """OSError when the address cannot be had."""
-        host, port = self.address
-        listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        try:
-            listener.bind((host, port))
-            listener.listen(64)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
-        asyncio.get_running_loop().add_reader(listener, self._take)
+        self._listener = listening(self.address, BACKLOG, self._take)
 
     def bound(self) -> Address:
         assert self._listener is not None
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -24,7 +24,7 @@
 from saltcourse.net.doorstep import Doorstep
 from saltcourse.net.invoker import SHORT
 from saltcourse.net.messages import MoveAll
-from saltcourse.net.stream import Peer
+from saltcourse.net.stream import Peer, listening
 
 if TYPE_CHECKING:  # nothing of it is imported without an admin address
     from saltcourse.admin.server import AdminServer
@@ -220,21 +220,10 @@
             except OSError as wrong:
                 raise CannotListen("EDGE_LISTEN_FD", f"descriptor {self.config.listen_fd}", wrong) from None
         try:
-            return self._bind()
+            return listening(self.config.listen, BACKLOG, self._take_some)
         except OSError as wrong:
             raise CannotListen("listen", "{}:{}".format(*self.config.listen), wrong) from None
 
-    def _bind(self) -> socket.socket:
-        host, port = self.config.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind((host, port))
-        listener.listen(BACKLOG)
-        asyncio.get_running_loop().add_reader(listener, self._take_some)
-        return listener
-
     def _inherit(self, number: int) -> socket.socket:
         """The platform's listening socket, shared with the process that this one replaces, or its heir."""
         listener = socket.socket(fileno=number)
--- a/saltcourse/net/stream.py
+++ b/saltcourse/net/stream.py
@@ -10,16 +10,35 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Callable
 from typing import cast
 
 from tornado.iostream import IOStream
 
 from saltcourse.wire.lines import LONGEST_LINE, LineBuffer
+from saltcourse.wire.members import Address
 
 WRITE_LIMIT = 64 * 1024  # bytes waiting for one peer; writers await each write, so little gathers
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def listening(address: Address, backlog: int, take: Callable[[], None]) -> socket.socket:
+    """A listener on ``address`` that calls ``take`` whenever a connection waits. OSError when the address
+    cannot be had; the socket is closed then, so that a failed start holds no descriptor."""
+    host, port = address
+    listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind((host, port))
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    asyncio.get_running_loop().add_reader(listener, take)
+    return listener
+
+
 class PeerReset(Exception):
     """The connection broke, or was closed on our side."""
 
