serve: no branch that blames 'listen' for any OSError; CannotListen names the key

Cause: since listen, admin and EDGE_LISTEN_FD errors come as CannotListen, cli.serve's 'except OSError' could only catch other faults and name 'listen' for them wrongly; membership names its own keys. Change: the branch is gone. Result: a taken listen address, tried by hand: exit 3, "'listen': cannot listen on 127.0.0.1:54537: Address already in use"; configuration and handover tests pass.

--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -103,10 +103,6 @@
     except CannotListen as wrong:
         click.echo(f"saltcourse: {wrong}", err=True)
         raise SystemExit(EXIT_LISTEN) from None
-    except OSError as wrong:
-        host, port = config.listen
-        click.echo(f"saltcourse: 'listen': cannot listen on {host}:{port}: {wrong.strerror}", err=True)
-        raise SystemExit(EXIT_LISTEN) from None
 
 
 def _reread_membership(operator: str | None, me: str) -> MembershipSettings | None:
