Groups stay together where loads are reported; stalls are told from overload

Three causes. (1) _decide drew among three servers asked by room alone, so the server that holds the group was taken in one of three; slivers of room anywhere took a new group. (2) Servers that stand still for 0.3 s tell delays of 7 s and loads of 9 meanwhile; HUNG moved all their connections and UNCLEAN doubled to 8 s: 8 of 12 stood empty with 340 clients waiting. (3) A server out of the draw was asked by no placement: two stood empty for 35 s. Change: one server is asked at a time, drawn by group; a group comes to a further server only where there is much room (0.36 of a server); the smallest groups are shed first and whole; the limit after strain binds with reports too, holds last 1 s; two reports over 1 behind three failing messages move what is over; the most overdue report is renewed each tick; while loads are low the own zone comes first. The learned target and SPREAD are gone: target 0.8.

--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -31,9 +31,7 @@
 UNCLEAN = 2.0  # s that a server counts as having lately refused, dropped or been slow; doubles
 CUT_EVERY = 1.0  # s between cuts: one jam drops many connections at once and is one sign
 BREAKS_WITHIN = 1.0  # s in which a second reset tells that a server drops connections
-TARGET = 0.85  # reported load at which a server has no free slot, at most; lower where messages slow below it
-TARGET_STEP = 0.01  # of reported load that the target moves for each message that it misjudged
-SPREAD = 0.1  # free slots reach this much reported load above the fleet's mean
+TARGET = 0.8  # reported load at which a server has no free slot: some 50 loads sway by a seventh around it
 FIRST_BACKOFF = 0.5  # s that a server is left alone after its first silent failure; doubles
 LONGEST_BACKOFF = 8.0  # s; about what the list needs to notice a dead server
 CROSS = 0.05  # a free slot in another zone counts as this much of one at home
@@ -48,6 +46,8 @@
 SETUP_GAIN = 0.05  # of each set-up in the usual time
 HUNG = 0.7  # s that a message takes at a server which does nothing any more: all its clients are moved
 SHED_SHARE = 0.2  # of its connections on such a server that a node moves for each sign, one a second
+SHED_LESS = 0.1  # the same where load is reported: a stall of a moment looks like work piled up
+OVER = 3  # signs in a row after which two reports over 1 are believed, and all that is over is moved
 HOMEWARD = 0.05  # of the connections that stand in other zones, moved home each second while home is at ease
 EASE = 0.1  # share of home servers with slow messages up to which home is at ease
 STORM_MEMORY = 5.0  # s in which a node forgets how its attempts went
@@ -62,10 +62,12 @@
 LOADS_MEANT = 100  # told loads over which the load of one slot is a mean
 LAST_TRY = 0.1  # s of a request's time under which another attempt is not worth sending
 PICK_TRIES = 60  # uniform draws before the exact scan; each is accepted with room over largest room
-LOOK = 3  # servers asked for their load before a placement, where probes tell it
-LOOK_FRESH = 0.25  # s for which a report saves another probe
-LOOKS = 2  # rounds of such questions before a request is refused because all asked were full
-REPORT_STALE = 5.0  # s after which a report says no more than the fleet's mean
+FURTHER = 0.36  # of a server's whole load: the room at which a group that stands elsewhere may come to it
+FIRST = 0.08  # the same for a group that stands nowhere; about what its first connection costs
+EASE_LOAD = 0.45  # mean reported load under which a crossing costs more than a group's further server
+LOOK_FRESH = 0.5  # s for which a report saves another probe, where it shows half the target or more
+LOOKS = 3  # servers asked for their load before a placement, one after another, where probes tell it
+REPORT_STALE = 5.0  # s after which a report says no more than the mean, and is renewed; after TICK if full
 WATCH_AGAIN = 0.5  # s from a list that was fetched to the next watch
 SCAN_AGAIN = 0.1  # s for which a scan that found no room anywhere holds
 LOOK_WAIT = 0.05  # s that a placement waits for these answers
@@ -100,7 +102,8 @@
         self.count = 0
         self.held: dict[str, Request] = {}  # connections that stand there
         self.groups: dict[str, int] = {}  # connections of each group, where a group has a cost of its own
-        self.size = self.slots = self.near = 1.0  # size over the mean; that while cold; a slot here
+        # Size over the mean; that while cold; what a slot here counts; this node's slots in a load of 1.
+        self.size = self.slots = self.near = self.whole = 1.0
         self.update(member)
         self.forget(-1e9)
 
@@ -114,20 +117,21 @@
         self.ceiling = self.limit = 0.0  # the limit is what was learned of the ceiling; 0 = nothing yet
         self.unclean_until = self.slow_until = self.down_until = self.next_send = 0.0
         self.cut_at = self.broke_at = -1e9
-        self.failures = self.strains = 0
+        self.failures = self.strains = self.fails = 0  # fails: messages past their aim in a row
         self.errors = 0.0  # share of its late answers that were errors, as far as it is to blame
         self.erred_on = ""  # the flow of the last of these
         self.health = Health.USABLE
         self.trial: Request | None = None  # the request that is out to try it; only while on TRIAL
         self.asking: list[Request] = []  # placements that wait for its probe
-        self.report_load, self.report_at, self.probing = -1.0, -1e9, False
+        self.report_load = self.report_before = -1.0
+        self.report_at, self.renew_at, self.probing = -1e9, -1e9, False  # heard; overdue; being asked for
 
 
 class Request:
     """A request from its arrival to its final answer, or a connection to its end."""
 
     __slots__ = ("id", "klass", "deadline", "server", "attempts", "out", "begun", "answered", "load", "tried",
-                 "may_have_run", "ran_at", "waiting", "looks", "began", "group", "flow", "sent_at", "suspect")
+                 "may_have_run", "ran_at", "asked", "looks", "began", "group", "flow", "sent_at", "suspect")
 
     def __init__(self, request: str, klass: RequestClass, deadline: float, load: float, group: str,
                  flow: str) -> None:
@@ -140,7 +144,7 @@
         self.tried: list[Server] = []
         self.may_have_run: Server | None = None  # the first server that may have run it
         self.ran_at = self.began = self.sent_at = 0.0
-        self.waiting: list[Server] = []  # servers whose load is being asked for
+        self.asked: Server | None = None  # the one whose load is being asked for
 
 
 class Balancer:
@@ -167,7 +171,7 @@
         self.retries = RETRY_BURST  # further attempts that may be sent now
         self.level = self.far_level = 0.0  # ceiling of a mean server of which nothing is learned
         self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
-        self.per_load, self.mean_report, self.target = 0.0, 0.5, TARGET  # slots for a server's whole load
+        self.per_load, self.mean_report = 0.0, 0.5  # slots for a server's whole load
         self.look = settings.reports_load and settings.may_probe
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self.slow_message = min(aims) / 3 if aims else float("inf")
@@ -283,7 +287,7 @@
             least = LEAST_LIMIT * server.slots * (self.level if server.near == 1.0 else self.far_level)
             server.limit = max(server.load * (CUT if dropped else 1.0), least, 0.5)
             server.strains = min(server.strains + 1, 3) if dropped else server.strains
-        hold = UNCLEAN * 2.0 ** max(0, server.strains - 1)
+        hold = CUT_EVERY if self.look else UNCLEAN * 2.0 ** max(0, server.strains - 1)
         server.slow_until = max(server.slow_until, self.now + hold)
         if dropped:
             server.unclean_until = server.slow_until
@@ -293,19 +297,19 @@
         request = self.requests.get(event.request)
         if request is None or request.server is None:
             return
-        server, slow = request.server, event.delay > self.slow_message
-        if server.report_at > self.now - REPORT_STALE and slow == (server.report_load < self.target):
-            self.target = min(TARGET, max(SPREAD, self.target + TARGET_STEP * (-1 if slow else 1)))
-        if slow:
-            # A reported load says it better, but not that work is piled up: late whatever the load.
-            failing = event.delay > SHED_ANYWAY * self.slow_message
-            if failing or not self.look:
-                self._strained(server, failing)
+        server, failing = request.server, event.delay > SHED_ANYWAY * self.slow_message
+        server.fails = server.fails + 1 if failing else 0
+        if self.look and failing:  # a reported load says it better, but not that work is piled up
+            self._strained(server, dropped=True)
+            self._ask(server, LOOK_FRESH)
+            self._shed(server, SHED_LESS)
+        elif event.delay > self.slow_message and not self.look:
+            self._strained(server, failing)
             if event.delay >= HUNG:
                 self._move(list(server.held.values()))
             elif failing or (event.delay > SHED_SLOWNESS * self.slow_message and self.largest_room > 0):
-                self._shed(server)
-        elif server.unclean_until <= self.now:
+                self._shed(server, SHED_SHARE)
+        elif event.delay <= self.slow_message and server.unclean_until <= self.now:
             server.slow_until = self.now
 
     def _set_up(self, server: Server, took: float) -> None:
@@ -314,19 +318,22 @@
         if took > SLOW_SETUP * self.usual_setup > 0:
             self._strained(server, dropped=False)
             if self.largest_room > 0 and server.cut_at == self.now:  # in a burst many tell of one jam
-                self._shed(server)
+                self._shed(server, SHED_LESS if self.look else SHED_SHARE)
         usual = self.usual_setup or took
         self.usual_setup = usual + SETUP_GAIN * (min(took, SLOW_SETUP * usual) - usual)
 
-    def _shed(self, server: Server) -> None:
-        """Few served beat all failed: move a share, for each node with connections there is told at once."""
-        self._move(self._share(list(server.held.values()), SHED_SHARE))
+    def _shed(self, server: Server, share: float) -> None:
+        """Few served beat all failed: move a share, for each node with connections there is told at once.
+        The smallest groups go first and whole: each frees what it cost, and finds its others elsewhere."""
+        if not self.look:
+            self._move(self._share(list(server.held.values()), share))
+            return
+        held = sorted(server.held.values(), key=lambda r: (server.groups.get(r.group, 0), r.group))
+        first = {r.group for r in held[:int(share * len(held) + self.random.random())]}
+        self._move([r for r in held if r.group in first])
 
     def _homeward(self, tick: float) -> None:
-        """Bring connections home from other zones, bit by bit, while home is at ease: each costs by the
-        second. Where servers report their load, measured, the balance between zones is worth more."""
-        if self.look:
-            return
+        """Bring connections home from other zones, bit by bit, while home is at ease: crossing costs."""
         home = [s for s in self.ready if s.near == 1.0]
         if sum([s.slow_until > self.now for s in home]) >= EASE * len(home):
             return
@@ -336,7 +343,7 @@
     def _gather(self) -> None:
         """The fullest server gives up what is over the most it would be sent, or a group's stragglers."""
         full = max(self.ready, key=lambda s: s.load / max(s.slots, 0.1), default=None)
-        if full is None or not full.groups or self.look:
+        if full is None or not full.groups:
             return
         # While one rests or is tried nothing is moved: the rest is crowded, and what moves would come back.
         well = [s for s in self.ready if s.health is Health.USABLE]
@@ -391,7 +398,7 @@
         self.level = self._level(self.level, home)
         self.far_level = self._level(self.far_level, [s for s in self.ready if s.near < 1.0])
         for server in self.ready:
-            self._set_ceiling(server)
+            self._set_ceiling(server, 1)
 
     def _level(self, level: float, servers: list[Server]) -> float:
         """What the mean server of these holds, and some slots more; forgotten slowly, for clients return."""
@@ -421,34 +428,19 @@
         for server in self.ready:
             server.size = sizes[server.kind]
 
-    def _set_ceiling(self, server: Server) -> None:
-        load = server.load
-        if server.report_load >= 0:
-            self._steer(server)
-            return
+    def _set_ceiling(self, server: Server, ticks: int = 0) -> None:
         level = self.level if server.near == 1.0 else self.far_level
-        server.ceiling = level * server.slots
-        if server.unclean_until > self.now:
-            server.ceiling = 0.0
-        elif server.limit > 0:
-            if server.slow_until > self.now:
-                server.ceiling = min(server.ceiling, load)
-            else:
-                server.limit += RECOVERY * level * server.size
-                server.ceiling = min(server.ceiling, server.limit)
-        elif server.ceiling < load:  # nothing says that it is full: what it holds is no reason to refuse
-            server.ceiling = load
-        self._grown(server)
-
-    def _steer(self, server: Server) -> None:
-        """A reported load sets the room: what is left up to the target, in this node's slots."""
-        if server.slow_until > self.now:  # set-up work can jam a server whose reported load is low
-            server.ceiling = 0.0 if server.unclean_until > self.now else server.load
-            return
-        told = server.report_load if server.report_at > self.now - REPORT_STALE else self.mean_report
-        target = min(self.target, self.mean_report + SPREAD)
-        slots = max(FEW_SLOTS, self.per_load) * server.slots
-        server.ceiling = server.load + slots * max(0.0, target - told)
+        slow = server.slow_until > self.now  # set-up work can jam a server whose reported load is low
+        if server.report_load >= 0:
+            told = server.report_load if server.report_at > self.now - REPORT_STALE else self.mean_report
+            server.whole = max(FEW_SLOTS, self.per_load) * server.slots
+            ceiling = server.load + server.whole * max(0.0, TARGET - told)
+        else:  # without a limit nothing says that it is full: what it holds is no reason to refuse
+            ceiling = max(level * server.slots, 0.0 if server.limit > 0 else server.load)
+        if server.limit > 0:
+            server.limit += 0.0 if slow else ticks * RECOVERY * level * server.size
+            ceiling = min(ceiling, server.load if slow else server.limit)
+        server.ceiling = 0.0 if server.unclean_until > self.now else ceiling
         self._grown(server)
 
     def _raise(self, server: Server) -> None:
@@ -465,26 +457,39 @@
 
     # ---- pick -----------------------------------------------------------------------------------
 
-    def _pick(self, request: Request, among: list[Server] | None = None) -> Server | None:
+    def _pick(self, request: Request) -> Server | None:
         """In proportion to free room; then, by one slot over, a clean server; else None."""
-        if among is not None:
-            return self._scan(request, among)
         if request.group:
             # Where its group costs nothing more, unless that is much fuller; else where others would go.
-            fair, able = self._fair(self.ready), [s for s in self.ready if self._allowed(request, s)]
-            home = (self._agreed(request.group, [s for s in able if request.group in s.groups], fair)
-                    or self._agreed(request.group, able, fair))
+            able = [s for s in self.ready if self._allowed(request, s)]
+            homes = [s for s in able if request.group in s.groups]
+            if self.look:
+                return self._gathered(request.group, homes, able)
+            home = self._agreed(request.group, homes) or self._agreed(request.group, able)
             if home is not None:
                 return home
         found = self._draw(request, 0.0)
         if found is None and self.now >= self.scanned + SCAN_AGAIN:
             self.scanned = self.now  # a fleet without room is not scanned for every request
-            found = self._scan(request, self.ready)
+            usable = [s for s in self.ready if self._allowed(request, s)]
+            found = self._drawn(usable, 0.0) or self._drawn([s for s in usable if self._clean(s)], 1.0)
             self.largest_room = max([(s.ceiling - s.load) * s.near for s in self.ready], default=0.0)
         elif found is None:
             found = self._draw(request, 1.0)
         return found
 
+    def _gathered(self, group: str, homes: list[Server], able: list[Server]) -> Server | None:
+        """A group costs every server that holds any of it. Where reported loads show that cost, a fleet that
+        spreads its groups is full with half the connections: refused is better than spread."""
+        least = FURTHER if homes else FIRST
+        roomy = [s for s in able if s.ceiling - s.load >= least * s.whole]
+        if self.mean_report < EASE_LOAD:
+            found = (self._agreed(group, [s for s in homes if s.near == 1.0])
+                     or self._agreed(group, [s for s in roomy if s.near == 1.0]))
+            if found is not None:
+                return found
+        return self._agreed(group, homes) or self._agreed(group, roomy)
+
     def _draw(self, request: Request, over: float) -> Server | None:
         """A uniform draw, accepted with room over the largest room: exactly in proportion to room."""
         ready, largest, draw = self.ready, self.largest_room + over, self.random.random
@@ -496,18 +501,15 @@
                 return server
         return None
 
-    def _scan(self, request: Request, servers: list[Server]) -> Server | None:
-        usable = [s for s in servers if self._allowed(request, s)]
-        return self._drawn(usable, 0.0) or self._drawn([s for s in usable if self._clean(s)], 1.0)
-
     def _drawn(self, servers: list[Server], over: float) -> Server | None:
         rooms = [max(0.0, s.ceiling + over - s.load) * s.near for s in servers]
         return self.random.choices(servers, rooms)[0] if sum(rooms) > 0 else None
 
-    @staticmethod
-    def _agreed(group: str, servers: list[Server], fair: float) -> Server | None:
+    def _agreed(self, group: str, servers: list[Server]) -> Server | None:
         """A draw in proportion to free room whose chance is the group's own: nodes that see the same room
         draw the same server, without a word between them (weighted rendezvous hashing)."""
+        fair = math.inf if self.look else self._fair(self.ready)
+
         def weight(server: Server) -> float:
             room = (min(server.ceiling, fair * server.slots) - server.load) * server.near
             if room <= 0:
@@ -533,7 +535,7 @@
 
     def _clean(self, server: Server) -> bool:
         return server.unclean_until <= self.now and (
-            server.report_load < self.target or server.report_at < self.now - REPORT_STALE)
+            server.report_load < TARGET or server.report_at < self.now - REPORT_STALE)
 
     # ---- the life of a request ------------------------------------------------------------------
 
@@ -558,12 +560,10 @@
         if self._storm():
             self._give_up(request)
             return
-        if not (self.look and self._look(request)):
-            self._place(request, None)
+        self._seek(request)
 
     def _storm(self) -> bool:
-        """Most attempts of late failed or were dropped young, whichever server they went to: returning
-        clients jam the fleet. Refusing at once lets the jam drain; each success earns another try."""
+        """Most attempts of late failed, wherever they went: clients jam the fleet; refusals drain it."""
         return self.failed - self.stood > STORM_SLACK
 
     def _on_resumed(self, event: ConnectionResumed) -> None:
@@ -597,13 +597,12 @@
         self.timers[self.next_token] = request
         self.out.append(SetTimer(max(0.0, delay), self.next_token))
 
-    def _place(self, request: Request, among: list[Server] | None) -> None:
+    def _place(self, request: Request, server: Server | None = None) -> None:
         left = request.deadline - self.now
-        server = None
         again = request.attempts < self.settings.max_attempts and left > LAST_TRY and self.retries >= 1
-        if request.attempts == 0 or (again and not self._storm()):
+        if server is None and (request.attempts == 0 or (again and not self._storm())):
             self.retries -= min(request.attempts, 1)
-            server = self._pick(request, among)
+            server = self._pick(request)
         if server is None:
             self._give_up(request)
             return
@@ -685,7 +684,7 @@
             self.failed += 1
         if event.status not in NEVER_RAN and request.may_have_run is None:
             request.may_have_run, request.ran_at = server, self.now - event.latency
-        self._place(request, None)
+        self._place(request)
 
     def _judge(self, server: Server, request: Request, status: Status) -> None:
         """What an ending says of the server; the client's own leaving says nothing."""
@@ -742,8 +741,13 @@
             tick = TICK * max(1.0, len(self.ready) / TICK_SERVERS)
             self.failed *= max(0.0, 1 - tick / STORM_MEMORY)
             self.stood = max(0.0, self.stood * (1 - tick / STORM_MEMORY))
-            self._homeward(tick)
-            self._gather()
+            if self.look and self.ready:  # one that is out of the draw is asked by no placement
+                overdue = min(self.ready, key=lambda s: s.renew_at)
+                if overdue.renew_at < self.now:
+                    self._ask(overdue, 0.0)
+            elif not self.look:
+                self._homeward(tick)
+                self._gather()
             self.out.append(SetTimer(tick, TICK_TOKEN))
         elif event.token == LIST_TOKEN:
             self.polled = self.list_failures % 2 == 1  # a watch that failed: the whole list may still be had
@@ -754,44 +758,32 @@
     def _on_request_timer(self, request: Request) -> None:
         if request.answered or request.begun:
             return
-        if request.waiting:
-            self._decide(request)
+        if request.asked is not None:  # no answer in time: what is known must do
+            request.asked, request.looks = None, LOOKS
+            self._seek(request)
         elif self.now >= request.deadline - self.settings.tick / 2:
             self._give_up(request)  # rule 1: whatever became of the attempt, the client is answered in time
 
     # ---- probes and reports ---------------------------------------------------------------------
 
-    def _look(self, request: Request) -> bool:
-        """Ask a few servers, drawn by room, for their load, and wait for it; False when none has room."""
-        known = len(request.tried)
-        for _ in range(LOOK):
-            server = self._pick(request)
-            if server is None:
-                break
-            request.tried.append(server)  # drawn without repeats
-        chosen = request.waiting = request.tried[known:]
-        del request.tried[known:]
+    def _seek(self, request: Request) -> None:
+        """Place it, where probes tell loads after asking the server drawn; a full one is drawn no more."""
+        server = self._pick(request) if self.look and request.looks < LOOKS else None
+        easy = server is not None and server.report_load < TARGET / 2
+        if server is None or not self._ask(server, REPORT_STALE if easy else LOOK_FRESH):
+            self._place(request, server)
+            return
+        request.asked = server
         request.looks += 1
-        for server in chosen:
-            if server.report_at < self.now - LOOK_FRESH and not server.probing:
-                server.probing = True
-                self.out.append(Probe(server.id))
-            if server.probing:
-                server.asking.append(request)
-        if any([s.probing for s in chosen]):
-            self._set_timer(request, min(LOOK_WAIT, request.klass.aim / 5))
-        elif chosen:
-            self._decide(request)
-        return bool(chosen)
-
-    def _decide(self, request: Request) -> None:
-        """Choose among the servers asked; when all were full, ask others, and then refuse."""
-        among, request.waiting = request.waiting, []
-        if self._pick(request, among) is None and request.looks < LOOKS:
-            request.tried.extend(among)
-            if self._look(request):
-                return
-        self._place(request, among)
+        server.asking.append(request)
+        self._set_timer(request, min(LOOK_WAIT, request.klass.aim / 5))
+
+    def _ask(self, server: Server, fresh: float) -> bool:
+        """Whether its load is being asked for; a report that is fresh needs no question."""
+        if not server.probing and server.report_at < self.now - fresh:
+            server.probing = True
+            self.out.append(Probe(server.id))
+        return server.probing
 
     def _on_probe(self, event: ProbeResult) -> None:
         server = self.servers.get(event.server)
@@ -806,9 +798,17 @@
             self._sign(server, Sign.FAILED)
         asking, server.asking = server.asking, []
         for request in asking:
-            if request.waiting and not request.answered and not any(s.probing for s in request.waiting):
-                self._decide(request)
+            if request.asked is server and not request.answered:
+                request.asked = None
+                self._seek(request)
 
     def _heard(self, server: Server, load: float) -> None:
+        if load != server.report_load:
+            server.report_before = server.report_load
         server.report_load, server.report_at = load, self.now
-        self._steer(server)
+        server.renew_at = self.now + (REPORT_STALE if load < TARGET else TICK)
+        over = min(load, server.report_before)
+        if over > 1 and server.fails >= OVER:  # neither a stall nor one bad report
+            server.fails, server.limit = 0, server.load * TARGET / over
+            self._shed(server, 1 - TARGET / over)
+        self._set_ceiling(server)
