Load reports behind PONG are read on the sockets; every one was dropped

Seen: a real proxy's log of the answers to STATS: 'PONG q=0,x0=0.276'. Cause: net/invoker.py ProbeCall._ask returned (OK, None): no line of the program read what follows the word, so the module asked again for every placement and never had a report. Change: wire/lines.py report_of reads the fields under the simulator's names and the sockets' (q or queue, busy or util); what is no figure is passed over. benchlink uses the same table. Tests: the line's forms, and a probe of a provider on loopback (fails without the change).

--- a/saltcourse/benchlink.py
+++ b/saltcourse/benchlink.py
@@ -16,6 +16,7 @@
 from saltcourse import interface as lg
 from saltcourse.policy import Balancer
 from saltcourse.settings import Malformed, field, number, read_settings, word
+from saltcourse.wire.lines import REPORT_FIELDS
 
 # The wire's words beside ours. Event and action names, and their fields, stand in the functions
 # below, one function a message.
@@ -30,9 +31,6 @@
     "update": lg.ListKind.CHANGED, "replace": lg.ListKind.WHOLE, "restored": lg.ListKind.RESTORED,
     "unavailable": lg.ListKind.UNAVAILABLE,
 }
-REPORT_FIELDS = {
-    "rif": "inflight", "q": "queue", "busy": "utilisation", "x0": "load", "x1": "backlog",
-}
 NOTE_LOAD, NOTE_DELAY = 1, 2
 MICRO, MILLI = 1e-6, 1e-3
 EXIT_MALFORMED = 2
--- a/saltcourse/net/invoker.py
+++ b/saltcourse/net/invoker.py
@@ -13,7 +13,7 @@
 from saltcourse.net.clock import Clock
 from saltcourse.net.messages import CallEnded, CallUp, ToInvocation
 from saltcourse.net.stream import Peer, PeerReset
-from saltcourse.wire.lines import NO, PING, PONG, STATS, BadLine, word_of
+from saltcourse.wire.lines import NO, PING, PONG, STATS, BadLine, report_of, word_of
 from saltcourse.wire.members import Address
 
 PROBE_TIME = 0.3  # s for a probe and its answer
@@ -182,7 +182,7 @@
         word = word_of(line)
         if word == NO:
             return lg.Status.NOT_SENT, None
-        return (lg.Status.OK if word == PONG else lg.Status.ERROR), None
+        return (lg.Status.OK if word == PONG else lg.Status.ERROR), report_of(line)
 
     def cleanup(self) -> None:
         if self._peer is not None:
--- a/saltcourse/wire/lines.py
+++ b/saltcourse/wire/lines.py
@@ -9,11 +9,17 @@
 import math
 from dataclasses import dataclass
 
+from saltcourse.interface import LoadReport
+
 MICRO = 1e-6  # LOAD tells microseconds of work a second
 LONGEST_LINE = 4096  # bytes, CRLF included
 LONGEST_WAIT_MS = 60_000  # no client waits longer than a minute for UP: a larger `d` is a mistake,
 LONGEST_RESUME_MS = 86_400_000  # but on a connection from before the start, which may come at its leisure
 END = b"\r\n"
+REPORT_FIELDS = {  # the simulator's word for a field and the sockets' own, where they differ
+    "rif": "inflight", "inflight": "inflight", "q": "queue", "queue": "queue", "busy": "utilisation",
+    "util": "utilisation", "x0": "load", "x1": "backlog",
+}
 PING, PONG, STATS, NO = b"PING", b"PONG", b"STATS", b"NO"
 MOVE_LINE, FAIL_LINE, PONG_LINE = b"MOVE\r\n", b"ERR\r\n", b"PONG\r\n"
 
@@ -151,3 +157,19 @@
     except ValueError:
         return None
     return value if math.isfinite(value) and value >= 0 else None
+
+
+def report_of(line: memoryview) -> LoadReport | None:
+    """The load report behind a line's first word, ``PONG q=2,x0=0.61``; None where none follows.
+
+    A field of another name, or a figure that is none, is passed over: it must not void the others."""
+    values: dict[str, float] = {}
+    for pair in bytes(line[:-2]).partition(b" ")[2].decode("latin-1").split(","):
+        name, _, figure = pair.partition("=")
+        try:
+            value = float(figure)
+        except ValueError:
+            continue
+        if name in REPORT_FIELDS and math.isfinite(value) and value >= 0:
+            values[REPORT_FIELDS[name]] = value
+    return LoadReport(**values) if values else None
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from saltcourse.delay import SILENT_AFTER, DelayMeter
-from saltcourse.interface import ServerState
+from saltcourse.interface import LoadReport, ProbeResult, ServerState, Status
+from saltcourse.net.clock import Clock
+from saltcourse.net.invoker import ProbeCall
 from saltcourse.wire.http import Answer, BadAnswer
-from saltcourse.wire.lines import BadLine, LineBuffer, busy_line, load_of, read_open
+from saltcourse.wire.lines import BadLine, LineBuffer, busy_line, load_of, read_open, report_of
 from saltcourse.wire.members import BadList, parse_list
 
 OPEN = b"OPEN 9b1f 7f3a c=live-feed,t=acme,zd=7,d=2000,g=5c0f\r\n"
@@ -163,3 +167,30 @@
     silent = DelayMeter(slow=float("inf"))  # the settings say that no such notes are sent
     silent.stands("a", "s0")
     assert silent.told("a", 5.0, 10.0) is None
+
+
+@pytest.mark.parametrize(("line", "want"), [
+    (b"PONG q=3,x0=0.61\r\n", LoadReport(queue=3, load=0.61)),
+    (b"BYE inflight=7,queue=2,util=0.61\r\n", LoadReport(inflight=7, queue=2, utilisation=0.61)),
+    (b"PONG x0=nan,q=-1,odd=4,x1=2,q\r\n", LoadReport(backlog=2)),
+    (b"PONG x0=,\xff=1\r\n", None), (b"PONG\r\n", None), (b"BYE \r\n", None),
+])
+def test_the_load_behind_a_word_is_read_and_what_is_no_figure_is_passed_over(
+        line: bytes, want: LoadReport | None) -> None:
+    assert report_of(memoryview(line)) == want
+
+
+def test_a_probe_brings_back_the_load_that_its_answer_tells() -> None:
+    # Every report was dropped on sockets: 3.6 probes a request were paid for and nothing was learned.
+    async def provider(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assert await reader.readline() == b"STATS\r\n"
+        writer.write(b"PONG q=0,x0=0.276\r\n")
+
+    async def probed() -> ProbeResult:
+        got: asyncio.Future[ProbeResult] = asyncio.get_running_loop().create_future()
+        async with await asyncio.start_server(provider, "127.0.0.1", 0) as server:
+            ProbeCall("s0", server.sockets[0].getsockname()[:2], True, Clock(), got.set_result).start()
+            return await got
+
+    result = asyncio.run(probed())
+    assert result.status is Status.OK and result.report == LoadReport(queue=0, load=0.276)
