Proxies that may talk tell each other which servers hold which groups

Change: saltcourse/fleet: each proxy owns a register of (server, group) pairs, tells changes with a digest of all, and a copy that disagrees asks for the whole; also its slots in a server's load. net/peers.py: one UDP socket, peers' own addresses only, 256 bytes; config keys peer_listen, peers, peers_all, checked. The module asks the register; it is an input and decides nothing.

--- a/saltcourse/benchlink.py
+++ b/saltcourse/benchlink.py
@@ -149,7 +149,8 @@
     lg.Move: lambda a, n: {"msg": "move", "node": n, "job": a.request},
     lg.SetTimer: lambda a, n: {"msg": "wake_me", "node": n, "after": a.delay, "handle": a.token},
     lg.Probe: lambda a, n: {"msg": "check", "node": n, "host": a.server},
-    lg.TellPeers: lambda a, n: {"msg": "say", "node": n, "peer": "all", "data": a.data},
+    lg.TellPeers: lambda a, n: {
+        "msg": "say", "node": n, "peer": "all" if a.peer is None else a.peer, "data": a.data},
     lg.Watch: lambda a, n: {"msg": "subscribe", "node": n, "want": True},
     lg.FetchList: lambda a, n: {"msg": "get_list", "node": n},
     lg.Log: lambda a, n: {"msg": "trace", "node": n, "text": a.text},
--- a/saltcourse/config/__init__.py
+++ b/saltcourse/config/__init__.py
@@ -22,7 +22,7 @@
 
 DEFAULT_LISTEN = "127.0.0.1:8081"
 DEFAULT_SOCKETS, DEFAULT_MEMORY_MB, DEFAULT_CORES = 4096, 2048, 1.0
-NEED_RESTART = ("name", "listen", "admin", "seed", "settings")  # keys that a reload leaves as they are
+NEED_RESTART = ("name", "listen", "admin", "seed", "settings", "peers")  # keys that a reload leaves alone
 FEWEST_SOCKETS = 64  # under this not even one client could be served beside what the program holds
 
 
@@ -37,6 +37,16 @@
     sockets: int
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAddresses:
+    """Where proxies of the same tier reach each other; ``each`` in the order of ``self_index``."""
+
+    listen: Address
+    each: tuple[Address, ...]
+    everyone: Address | None  # what is sent there reaches all of them
+    own: int
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -48,6 +58,7 @@
     settings: lg.Settings
     tells_delay: bool
     admin: Address | None = None  # the operators' address; none, and nobody can call
+    peers: PeerAddresses | None = None  # none: this proxy talks to no other
     listen_fd: int | None = None  # a listening socket given by the platform, instead of binding ``listen``
 
 
@@ -117,10 +128,29 @@
         limits=_limits(_object(values.get("limits"), "limits")), known=known, settings=read,
         tells_delay=bool(extra.get("tells_delay", False)),
         admin=None if told["admin"] is None else _address(told["admin"], "admin"),
+        peers=_peers(values, read),
         listen_fd=_descriptor(environment.get("EDGE_LISTEN_FD")),
     )
 
 
+def _peers(values: dict[str, Any], settings: lg.Settings) -> PeerAddresses | None:
+    """The addresses, where the settings allow proxies to talk and ``peer_listen`` says where to hear them."""
+    if not settings.peers or values.get("peer_listen") is None:
+        return None
+    each = values.get("peers")
+    if not isinstance(each, list) or len(each) != settings.balancers:
+        raise ConfigError(f"'peers': must be a list of {settings.balancers} addresses, one for each of "
+                          "'settings.balancers'")
+    if settings.index >= settings.balancers:
+        raise ConfigError(f"'settings.self_index': must be under {settings.balancers}, 'settings.balancers'")
+    found = tuple(_address(str(value), f"peers[{i}]") for i, value in enumerate(each))
+    if len(set(found)) < len(found):
+        raise ConfigError("'peers': an address stands twice")
+    everyone = values.get("peers_all")
+    return PeerAddresses(_address(values["peer_listen"], "peer_listen"), found,
+                         None if everyone is None else _address(everyone, "peers_all"), settings.index)
+
+
 def _descriptor(value: str | None) -> int | None:
     """EDGE_LISTEN_FD: the number of an inherited listening socket, used instead of binding ``listen``."""
     if not value:
--- /dev/null
+++ b/saltcourse/fleet/words.py
@@ -0,0 +1,89 @@
+"""What proxies say to each other: a message is text of at most 256 bytes, read whole or not at all.
+
+    1AbQ0cHk9+srv1grp1-srv2grp2        version, boot, number, digest, then records
+
+Servers and groups stand as four characters of a hash. Two that share them are taken for one: a hint is then
+wrong, and a hint is all that a message can be. Figures are digits to the base of 64, the largest first.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+MOST_BYTES = 256  # of a datagram; a longer one voids a run
+VERSION = "1"
+DIGITS = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+VALUES = {digit: value for value, digit in enumerate(DIGITS)}
+BOOT, NUMBER, DIGEST, NAME, FIGURE = 2, 3, 3, 4, 3  # characters of each
+HEAD = len(VERSION) + BOOT + NUMBER + DIGEST
+MOST_FIGURE = 64**FIGURE - 1
+HOLDS, DROPS, VOID, ASKS, SCALE = "+", "-", "!", "?", "="
+SIZES = {HOLDS: 2 * NAME, DROPS: 2 * NAME, VOID: 0, ASKS: 0, SCALE: FIGURE}  # characters behind the sign
+
+
+class BadMessage(Exception):
+    """A peer sent what no proxy of this version sends; the text says what."""
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """``boot`` is drawn anew at each start; ``number`` grows by one a message; ``digest`` sums up what the
+    sender has told to hold with this message. A record is its sign and what follows it."""
+
+    boot: int
+    number: int
+    digest: int
+    records: tuple[str, ...]
+
+
+def write_figure(value: int, size: int) -> str:
+    text = ""
+    for _ in range(size):
+        value, digit = divmod(value, 64)
+        text = DIGITS[digit] + text
+    return text
+
+
+def read_figure(text: str) -> int:
+    value = 0
+    for digit in text:
+        if digit not in VALUES:
+            raise BadMessage("a character that is no digit")
+        value = value * 64 + VALUES[digit]
+    return value
+
+
+def name(identifier: str) -> str:
+    """A server's or a group's short name."""
+    digest = hashlib.blake2b(identifier.encode(), digest_size=NAME).digest()
+    return write_figure(int.from_bytes(digest, "big") % 64**NAME, NAME)
+
+
+def write(message: Message) -> str:
+    return "".join((VERSION, write_figure(message.boot, BOOT), write_figure(message.number, NUMBER),
+                    write_figure(message.digest, DIGEST), *message.records))
+
+
+def read(text: str) -> Message:
+    if len(text) > MOST_BYTES or len(text) < HEAD:
+        raise BadMessage("too long or too short")
+    if not text.startswith(VERSION):
+        raise BadMessage("another version")
+    at = len(VERSION)
+    boot = read_figure(text[at:at + BOOT])
+    number = read_figure(text[at + BOOT:at + BOOT + NUMBER])
+    digest = read_figure(text[at + BOOT + NUMBER:HEAD])
+    return Message(boot, number, digest, tuple(_records(text[HEAD:])))
+
+
+def _records(text: str) -> Iterator[str]:
+    at = 0
+    while at < len(text):
+        size = SIZES.get(text[at])
+        if size is None or at + 1 + size > len(text):
+            raise BadMessage("an unknown record, or a part of one")
+        read_figure(text[at + 1:at + 1 + size])
+        yield text[at:at + 1 + size]
+        at += 1 + size
--- a/saltcourse/interface.py
+++ b/saltcourse/interface.py
@@ -350,9 +350,10 @@
 
 @dataclass(slots=True)
 class TellPeers:
-    """Send at most 256 bytes to every other node."""
+    """Send at most 256 bytes to one other node, or to every one."""
 
     data: str
+    peer: int | None = None
 
 
 @dataclass(slots=True)
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -42,7 +42,8 @@
 
 class Decider(Actor[ToDecider | Rung]):
     def __init__(self, settings: lg.Settings, seed: int, clock: Clock, known: Listing,
-                 ask_directory: Callable[[lg.Watch | lg.FetchList], None], tells_delay: bool) -> None:
+                 ask_directory: Callable[[lg.Watch | lg.FetchList], None], tells_delay: bool,
+                 say: Callable[[lg.TellPeers], None]) -> None:
         super().__init__("decider")
         self.settings, self.clock = settings, clock
         self.addresses: dict[str, Address] = {}
@@ -50,7 +51,7 @@
         self.invocations: dict[str, Invocation] = {}
         self.standing: dict[str, lg.ConnectionResumed] = {}
         self._plan: DrainPlan | None = None  # when standing connections are moved; None: nothing is
-        self._known, self._ask, self._seed = known, ask_directory, seed
+        self._known, self._ask, self._seed, self._say = known, ask_directory, seed, say
         self._sends: dict[str, tuple[int, str]] = {}  # request -> number and server of its last attempt
         self._arrived: dict[str, lg.NewRequest] = {}
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
@@ -259,7 +260,7 @@
                 case lg.Log():
                     log.info("module", text=action.text)
                 case lg.TellPeers():
-                    log.warning("nodes have no way to talk to each other here")
+                    self._say(action)
 
     def _tell(self, request: str, action: lg.Refuse | lg.Fail | lg.Move) -> None:
         invocation = self.invocations.get(request)
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:  # nothing of it is imported without an admin address
     from saltcourse.admin.server import AdminServer
+    from saltcourse.net.peers import PeerLink
 
 BACKLOG = 1024  # connections that wait to be taken: most clients may come back in the same second
 TAKEN_AT_ONCE = 32  # before other work has its turn
@@ -79,8 +80,13 @@
         self.phase = Phase.STARTING
         self.clock = Clock()
         self.directory = Directory(config.discovery, config.known.version, lambda m: self.decider.tell(m))
+        self.peers: PeerLink | None = None
+        if config.peers is not None:
+            from saltcourse.net.peers import PeerLink  # not imported where proxies share nothing
+
+            self.peers = PeerLink(config.peers, lambda m: self.decider.tell(m))
         self.decider = Decider(config.settings, config.seed, self.clock, config.known, self.directory.tell,
-                               config.tells_delay)
+                               config.tells_delay, self.peers.say if self.peers else lambda _: None)
         self.doorstep = Doorstep(config.limits.sockets - OWN_SOCKETS)
         self.figures = Figures(c.name for c in config.settings.classes)
         self.figures.gauges = self._gauges
@@ -101,6 +107,11 @@
         # Not by the loop's own handlers: those go with the loop, and a SIGHUP in the program's last moments
         # would then end it as one that was never handled.
         signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
+        if self.peers is not None and self.config.peers is not None:
+            try:
+                await self.peers.open()
+            except OSError as wrong:
+                raise CannotListen("peer_listen", "{}:{}".format(*self.config.peers.listen), wrong) from None
         self.decider.start()
         self.directory.start()
         self._listener = self._listen()
@@ -123,6 +134,8 @@
         self._enter(Phase.STOPPED)
         if self.admin is not None:
             self.admin.stop()
+        if self.peers is not None:
+            self.peers.close()
 
     # ---- what operators ask at the admin address ------------------------------------------------
 
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -15,11 +15,12 @@
 import random
 from enum import Enum, IntEnum
 
+from saltcourse.fleet.holdings import Holdings
 from saltcourse.interface import (
     NEVER_RAN, Action, ClientGone, ConnectionResumed, DelayNote, Discovery, Effect, Established, Event,
     Fail, FetchList, ListKind, LoadNote, Member, MembersChanged, Move, NewRequest, Outcome, PeerMessage,
     Probe, ProbeResult, Refuse, RequestClass, Scope, Send, ServerState, SetTimer, Settings, Status,
-    TimerFired, Watch,
+    TellPeers, TimerFired, Watch,
 )
 
 TICK = 1.0  # s between refreshes of ceilings and health; short against a connection's life
@@ -173,6 +174,7 @@
         self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
         self.per_load, self.mean_report = 0.0, 0.5  # slots for a server's whole load
         self.look = settings.reports_load and settings.may_probe
+        self.peers = Holdings(settings, seed)
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self.slow_message = min(aims) / 3 if aims else float("inf")
         self.handlers = {
@@ -180,13 +182,14 @@
             ConnectionResumed: self._on_resumed, Established: self._on_established,
             Outcome: self._on_outcome, ClientGone: self._on_gone, LoadNote: self._on_load,
             DelayNote: self._on_delay, TimerFired: self._on_timer, ProbeResult: self._on_probe,
-            PeerMessage: lambda _: None,  # nothing is told between nodes yet
+            PeerMessage: lambda e: self.peers.heard(self.now, e.sender, e.data),
         }
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Take one event at the host's time; what comes back is to be carried out in its order."""
         self.now, self.out = now, []
         self.handlers[type(event)](event)  # type: ignore[operator]
+        self.out += [TellPeers(data, peer) for peer, data in self.peers.due(now)]
         return self.out
 
     # ---- membership -----------------------------------------------------------------------------
@@ -409,22 +412,18 @@
     def _learn_capacity(self) -> None:
         """Slots that this node may fill on each server: its own slots there over the load they make,
         pooled over the servers of one kind, for on one server a node may hold less than one."""
-        recent = self.now - REPORT_STALE
-        kinds: dict[str, list[float]] = {}
-        count = 0
-        for server in self.ready:
-            sums = kinds.setdefault(server.kind, [0.0, 0.0])
-            if server.report_at > recent and server.report_load > 0.02:
-                sums[0] += server.load
-                sums[1] += server.report_load
-                count += 1
-        own, told = (sum(part) for part in zip(*kinds.values(), strict=True))
-        if told <= 0 or own <= 0:
+        heard = [s for s in self.ready if s.report_at > self.now - REPORT_STALE and s.report_load > 0.02]
+        own, told = sum([s.load for s in heard]), sum([s.report_load for s in heard])
+        if own <= 0:
             return
         mean = self.per_load = own / told
-        self.mean_report = told / count
-        # A few servers' worth of the fleet's mean is mixed in, for kinds of which little is known.
-        sizes = {name: (k[0] + 3 * mean) / (k[1] + 3) / mean for name, k in kinds.items()}
+        self.peers.tell_scale(mean)
+        self.mean_report = told / len(heard)
+        sizes = {}
+        for kind in {s.kind for s in self.ready}:
+            same = [s for s in heard if s.kind == kind]
+            # A few servers' worth of the fleet's mean is mixed in, for kinds of which little is known.
+            sizes[kind] = (sum([s.load for s in same]) / mean + 3) / (sum([s.report_load for s in same]) + 3)
         for server in self.ready:
             server.size = sizes[server.kind]
 
@@ -433,7 +432,7 @@
         slow = server.slow_until > self.now  # set-up work can jam a server whose reported load is low
         if server.report_load >= 0:
             told = server.report_load if server.report_at > self.now - REPORT_STALE else self.mean_report
-            server.whole = max(FEW_SLOTS, self.per_load) * server.slots
+            server.whole = max(FEW_SLOTS, self.per_load, self.peers.least_scale) * server.slots
             ceiling = server.load + server.whole * max(0.0, TARGET - told)
         else:  # without a limit nothing says that it is full: what it holds is no reason to refuse
             ceiling = max(level * server.slots, 0.0 if server.limit > 0 else server.load)
@@ -462,7 +461,8 @@
         if request.group:
             # Where its group costs nothing more, unless that is much fuller; else where others would go.
             able = [s for s in self.ready if self._allowed(request, s)]
-            homes = [s for s in able if request.group in s.groups]
+            homes = [s for s in able if request.group in s.groups
+                     or self.peers.held_elsewhere(s.id, request.group)]
             if self.look:
                 return self._gathered(request.group, homes, able)
             home = self._agreed(request.group, homes) or self._agreed(request.group, able)
@@ -557,10 +557,7 @@
         request = self._request(event, self.now + event.patience, event.key)
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self._set_timer(request, event.patience)
-        if self._storm():
-            self._give_up(request)
-            return
-        self._seek(request)
+        (self._give_up if self._storm() else self._seek)(request)
 
     def _storm(self) -> bool:
         """Most attempts of late failed, wherever they went: clients jam the fleet; refusals drain it."""
@@ -579,7 +576,9 @@
         server.load += request.load
         server.count += 1
         if request.group:
-            server.load += 0.0 if request.group in server.groups else GROUP_SLOTS
+            if request.group not in server.groups:
+                server.load += GROUP_SLOTS
+                self.peers.hold(server.id, request.group, True)
             server.groups[request.group] = server.groups.get(request.group, 0) + 1
 
     def _vacate(self, server: Server, request: Request) -> None:
@@ -587,6 +586,7 @@
             server.groups[request.group] -= 1
             if not server.groups[request.group]:
                 del server.groups[request.group]
+                self.peers.hold(server.id, request.group, False)
                 server.load -= GROUP_SLOTS
         server.load = max(0.0, server.load - request.load) if server.count > 1 else 0.0
         server.count -= 1
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -46,6 +46,28 @@
         read_config(example(**changes), {})
 
 
+@pytest.mark.parametrize(("changes", "named"), [
+    ({}, ""), ({"peers": None}, "'peers'"), ({"peers": ["h:1"]}, "'peers'"),
+    ({"peers": ["h:1", "h:2", 3]}, r"'peers\[2\]'"), ({"peers": ["h:1", "h:2", "h:1"]}, "'peers'"),
+    ({"peers_all": "h"}, "'peers_all'"), ({"peer_listen": "h:0"}, "'peer_listen'"),
+])
+def test_peers_are_read_where_proxies_may_talk_and_errors_name_the_key(
+        changes: dict[str, Any], named: str) -> None:
+    values = example(peer_listen="h:9", peers=["h:1", "h:2", "h:3"], peers_all="h:8") | changes
+    values["settings"] = values["settings"] | {"balancers": 3, "self_index": 1}
+    assert read_config(values, {}).peers is None  # its settings say that proxies share nothing
+    values["settings"]["limits"] = values["settings"]["limits"] | {"peers": True}
+    if named:
+        with pytest.raises(ConfigError, match=named):
+            read_config(values, {})
+        return
+    peers = read_config(values, {}).peers
+    assert peers is not None and peers.each[2] == ("h", 3) and peers.everyone == ("h", 8) and peers.own == 1
+    values["settings"]["self_index"] = 3
+    with pytest.raises(ConfigError, match="self_index"):
+        read_config(values, {})
+
+
 @pytest.mark.parametrize(("balancers", "read"), [
     (0, None), (-3, None), (2.5, None), ("2", None), (True, None), (40, 40), (None, 1)])
 def test_a_number_of_proxies_that_makes_no_sense_is_named(balancers: Any, read: int | None) -> None:
