--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from functools import partial
 from typing import Any
 
@@ -18,7 +19,17 @@
 from saltcourse.fleet.words import MOST_BYTES, BadMessage, Message, read, write
 from saltcourse.net.peers import PeerLink
 from tests.node import Node, members, settings
-from tests.test_admin import free_port
+
+def free_addresses(count: int) -> tuple[tuple[str, int], ...]:
+    """UDP addresses that nobody holds; all are held at once while they are sought, so that they differ."""
+    held = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for sock in held:
+        sock.bind(("127.0.0.1", 0))
+    found = tuple(sock.getsockname() for sock in held)
+    for sock in held:
+        sock.close()
+    return found
+
 
 RECORDS = st.sampled_from(["+srv1grp1", "-srv1grp1", "!", "?", "=0Ab"])
 
@@ -188,7 +199,7 @@
 
 def test_only_what_a_peer_sends_from_its_own_address_is_taken() -> None:
     async def play() -> tuple[list[lg.PeerMessage], int]:
-        each = tuple(("127.0.0.1", free_port()) for _ in range(3))
+        each = free_addresses(3)
         got: asyncio.Queue[lg.PeerMessage] = asyncio.Queue()
         links = [PeerLink(PeerAddresses(each[i], each, None, i), got.put_nowait) for i in (0, 1)]
         for link in links:
