Fleet: shares of budgets that no cut overspends, verdicts that end, counts that fade

Change: saltcourse/fleet: table (pairs and counts, any order of messages fills copies alike), shares (an equal part, half of it for good, half in tokens that an heir must have promised, on the safe side of both clocks), verdicts (their end travels in their maker's clock), core (handle(now, event)). The module: a cold server's slots at the share's pace, 20 probes a second and server for the whole fleet by a budget that starts empty, a server that a peer leaves alone is tried by one connection at a time. Broken cores (never asks; inherits at once; counts from the coming) are each caught.

--- /dev/null
+++ b/saltcourse/fleet/core.py
@@ -0,0 +1,285 @@
+"""What this proxy knows of the others of its tier by their messages: no I/O and no clock of its own.
+
+``handle(now, event)`` takes what has come and the time, and returns what is to be sent. Everything that is
+asked of it is a hint to the module (who holds which group, what a server bears, whom others leave alone, how
+many connections stand where) or a bound that holds whatever was lost (a budget's share). It decides nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from saltcourse.fleet.shares import Budget, Shares, Terms
+from saltcourse.fleet.table import Copy, Table
+from saltcourse.fleet.verdicts import Verdicts
+from saltcourse.fleet.words import (
+    ASKS, BOOT, COUNTS, DROPS, FIGURE, GIVES, HEAD, HOLDS, JUDGES, MOST_BYTES, NAME, NUMBER, SCALE, TIME,
+    VOID, WISHES, BadMessage, Message, at_most, name, read, read_figure, write,
+)
+from saltcourse.interface import Settings
+
+PACE = 0.05  # s between messages of one proxy to all: what changes meanwhile goes together
+BEAT = 4.0  # s after which a proxy with nothing to tell gives a sign of life
+SILENT = 3 * BEAT  # s without a message after which a peer is given up and its table with it
+DOUBT = 1.0  # s that a copy may differ before its owner is asked: what is under way may still come
+ASK_AGAIN = 1.5  # s until the next question to the same peer
+NUMBERS = 1 << 6 * NUMBER  # of messages, before they begin again
+LEAST_SCALE = 0.5  # of the peers' mean: one that has just started holds too little to know its own
+FADE = 30.0  # s in which what a lost peer held falls by half, down to what the others hold in the mean
+MOST_NAMES = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    sender: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    pass
+
+
+Event = Heard | Tick
+Sends = list[tuple[int | None, str]]  # to one peer, or to all (None)
+
+
+@dataclass(slots=True)
+class Peer:
+    """One other proxy, from its first message to its silence or its next start."""
+
+    boot: int
+    number: int  # of its newest message; it counts on where the messages' own numbers begin again
+    copy: Copy = field(default_factory=Copy)
+    told: int = 0  # the digest that it told last
+    heard: float = 0.0
+    sound: float = 0.0  # when the copy last agreed
+    ask_at: float = 0.0  # when it may be asked again
+    scale: float = 0.0
+
+    def count_on(self, number: int) -> int:
+        return self.number + (number - self.number + NUMBERS // 2) % NUMBERS - NUMBERS // 2
+
+
+class Fleet:
+    def __init__(self, settings: Settings, boot: int, rate: float, terms: Terms | None = None) -> None:
+        """``boot``: another figure with each start of this proxy. ``rate``: what the whole fleet may spend a
+        second on one server, of what ``pay`` is asked for."""
+        self.index, self.count = settings.index, settings.balancers if settings.peers else 1
+        self.boot, self.number = boot % 64**BOOT, 0
+        self.terms = terms or Terms()
+        self.table, self.peers = Table(), dict[int, Peer]()
+        self.shares = Shares(self.index, settings.balancers, self.terms, alone=self.count < 2)
+        self.rate = rate
+        self.budgets: dict[str, Budget] = {}
+        self.verdicts = Verdicts(self.terms.drift)
+        self.holders: dict[str, set[int]] = {}  # pair -> the peers that hold it
+        self.scale = self.scale_told = 0.0
+        self.least_scale = 0.0  # what this proxy's is at least, by what the peers tell; 0 while none does
+        self.counting = False  # numbers of connections are told too
+        self.lost: dict[int, tuple[float, dict[str, int]]] = {}  # peer -> when it was given up, what it held
+        self.answers: dict[int, list[str]] = {}  # peer -> records that it alone is to get
+        self.askers: set[int] = set()  # peers that are to be told the whole table
+        self.sent_at = self.beaten = -1e9  # the last message to all; the last sign of life
+        self.ticked = 0.0
+        self.began: float | None = None
+        self.names: dict[str, str] = {}
+        self.bad = 0  # messages that could not be read
+
+    # ---- what the module asks and tells -----------------------------------------------------------
+
+    def held_elsewhere(self, server: str, group: str) -> bool:
+        return bool(self.holders) and self._name(server) + self._name(group) in self.holders
+
+    def hold(self, server: str, group: str, held: bool) -> None:
+        """This proxy has got its first connection of the group there, or lost its last."""
+        if self.count > 1:
+            self.table.set(self._name(server) + self._name(group), "" if held else None)
+
+    def stands(self, server: str, connections: int) -> None:
+        """So many connections stand there through this proxy."""
+        if self.count > 1 and self.counting:
+            self.table.count(self._name(server), connections)
+
+    def tell_scale(self, scale: float) -> None:
+        """This proxy's slots in a server's whole load; told when it has changed by a fifth."""
+        if abs(scale - self.scale) > 0.2 * self.scale:
+            self.scale = scale
+
+    def judge(self, server: str, until: float) -> None:
+        """This proxy leaves the server alone until then."""
+        if self.count > 1:
+            self.verdicts.judge(self._name(server), until)
+
+    def pace(self, now: float) -> float:
+        """This proxy's share over an equal part, for what each does at a pace of its own: 0.5 to 1.5."""
+        return self.shares.share(now) * self.shares.count
+
+    def _began(self, now: float) -> float:
+        self.began = now if self.began is None else self.began
+        return self.began
+
+    def pay(self, now: float, server: str) -> bool:
+        """One of what the fleet may do there so often a second, if this proxy's share has it left."""
+        budget = self.budgets.get(server)
+        if budget is None:
+            # The smallest share holds one. A budget is empty at the start: an earlier life may have spent it.
+            budget = Budget(self.rate, 2.0 * self.shares.count, 0.0, self._began(now))
+            self.budgets[server] = budget
+        return budget.spend(now, self.shares.share(now))
+
+    def connections(self, now: float, server: str) -> float:
+        """Those of the whole fleet, as far as is known. What a lost peer held fades to what the others hold
+        in the mean, and not to nothing: it may serve them still, where nobody hears it."""
+        key = self._name(server)
+        known = [read_figure(value) for value in [self.table.own.get(key, ""), *[
+            p.copy.entries.get(key, "") for p in self.peers.values()]]]
+        total, mean = float(sum(known)), sum(known) / len(known)
+        for since, held in self.lost.values():
+            last = held.get(key, 0)
+            total += max(min(last, mean), last * 0.5 ** ((now - since) / FADE))
+        return total
+
+    def _name(self, identifier: str) -> str:
+        if len(self.names) > MOST_NAMES:  # names are dear to make, but groups come and go for ever
+            self.names.clear()
+        return self.names.get(identifier) or self.names.setdefault(identifier, name(identifier))
+
+    # ---- messages ---------------------------------------------------------------------------------
+
+    def handle(self, now: float, event: Event) -> Sends:
+        if isinstance(event, Heard):
+            self.heard(now, event.sender, event.text, ())
+        return self.due(now)
+
+    def heard(self, now: float, sender: int, text: str, servers: Iterable[str]) -> list[str]:
+        """Those of the servers that a peer leaves alone, when the message brings a verdict."""
+        if sender == self.index or not 0 <= sender < self.count:
+            return []
+        try:
+            message = read(text)
+        except BadMessage:
+            self.bad += 1
+            return []
+        peer = self.peers.get(sender)
+        if peer is None or peer.boot != message.boot:
+            self._forget(sender)
+            peer = self.peers[sender] = Peer(message.boot, message.number - 1, sound=now)
+        self.lost.pop(sender, None)
+        number, peer.heard = peer.count_on(message.number), now
+        if number > peer.number:
+            peer.number, peer.told = number, message.digest
+        for record in message.records:
+            self._take(now, sender, peer, number, record[0], record[1:])
+        if peer.copy.digest == peer.told:
+            peer.sound, peer.ask_at = now, 0.0
+        if not any([r[0] == JUDGES for r in message.records]):
+            return []
+        standing = self.verdicts.standing(now)
+        return [s for s in servers if self._name(s) in standing]
+
+    def _take(self, now: float, sender: int, peer: Peer, number: int, sign: str, rest: str) -> None:
+        if sign in (HOLDS, DROPS, COUNTS, VOID):
+            for key in peer.copy.take(number, sign, rest):
+                if key in peer.copy.entries:
+                    self.holders.setdefault(key, set()).add(sender)
+                else:
+                    self._released(sender, key)
+        elif sign in (WISHES, GIVES):
+            for answer in self.shares.take(now, sender, sign, rest):
+                self.answers.setdefault(sender, []).append(answer)
+        elif sign in (TIME, JUDGES):
+            self.verdicts.take(now, sender, sign, rest)
+        elif sign == ASKS:
+            self.askers.add(sender)
+        elif sign == SCALE:
+            peer.scale = read_figure(rest) / 100
+            told = [p.scale for p in self.peers.values() if p.scale > 0]
+            self.least_scale = LEAST_SCALE * sum(told) / len(told) if told else 0.0
+
+    def _released(self, sender: int, key: str) -> None:
+        peers = self.holders.get(key, set())
+        peers.discard(sender)
+        if not peers:
+            self.holders.pop(key, None)
+
+    def _forget(self, sender: int) -> None:
+        peer = self.peers.pop(sender, None)
+        if peer is not None:
+            for key in peer.copy.entries:
+                self._released(sender, key)
+            self.verdicts.forget(sender)
+
+    def due(self, now: float) -> Sends:
+        """The messages to be sent now."""
+        self._began(now)
+        pressing = self.answers or self.askers or (now >= self.sent_at + PACE and (
+            self.table.changed or self.verdicts.new))
+        if self.count < 2 or not pressing and now < min(self.ticked + DOUBT, self.beaten + BEAT):
+            return []
+        out: Sends = []
+        asked = [s for s in range(self.count) if s != self.index] if self.number == 0 else []  # a fresh start
+        if now >= self.sent_at + PACE:
+            records = self._news(now)
+            if records or asked:
+                self.sent_at = now
+                out += [(None, text) for text in self._messages(records)]
+        if now >= self.ticked + DOUBT:
+            self.ticked = now
+            self._give_up(now)
+            asked += self._doubted(now)
+        for peer in sorted(self.askers):
+            self.answers.setdefault(peer, []).extend([*self.table.whole(), *self._scale_record()])
+        for peer in asked:
+            self.answers.setdefault(peer, []).append(ASKS)
+        out += [(peer, text) for peer, records in sorted(self.answers.items()) if records
+                for text in self._messages(records)]
+        self.askers.clear()
+        self.answers.clear()
+        return out
+
+    def _news(self, now: float) -> list[str]:
+        """What all are to hear. Numbers of connections change all the time and wait for the sign of life."""
+        beat = now >= self.beaten + BEAT
+        records = self.table.changes(lambda key: beat or len(key) > NAME)
+        if abs(self.scale - self.scale_told) > 0.2 * self.scale_told:
+            self.scale_told = self.scale
+            records += self._scale_record()
+        records += self.verdicts.told(now)
+        if beat:
+            self.beaten = now
+            records += [self.verdicts.clock(now), *self.shares.wish(now)]
+        return records
+
+    def _give_up(self, now: float) -> None:
+        for sender in [s for s, p in self.peers.items() if now > p.heard + SILENT]:
+            held = {k: read_figure(v) for k, v in self.peers[sender].copy.entries.items() if v}
+            self._forget(sender)
+            self.lost[sender] = now, held
+
+    def _doubted(self, now: float) -> list[int]:
+        found = []
+        for sender, peer in self.peers.items():
+            if peer.copy.digest != peer.told and not peer.copy.full() and now > max(
+                    peer.ask_at, peer.sound + DOUBT):
+                peer.ask_at = now + ASK_AGAIN
+                found.append(sender)
+        return found
+
+    def _scale_record(self) -> list[str]:
+        return [SCALE + at_most(round(100 * self.scale_told), FIGURE)]
+
+    def _messages(self, records: list[str]) -> Iterable[str]:
+        """As many messages as the records need, at least one. All have the digest of what holds after the
+        last: a copy that lacks a part of them is in doubt, and heals."""
+        at = 0
+        while True:
+            size, begin = HEAD, at
+            while at < len(records) and size + len(records[at]) <= MOST_BYTES:
+                size += len(records[at])
+                at += 1
+            yield write(Message(self.boot, self.number, self.table.digest, tuple(records[begin:at])))
+            self.number = (self.number + 1) % NUMBERS
+            if at == len(records):
+                return
--- a/saltcourse/fleet/words.py
+++ b/saltcourse/fleet/words.py
@@ -1,6 +1,6 @@
 """What proxies say to each other: a message is text of at most 256 bytes, read whole or not at all.
 
-    1AbQ0cHk9+srv1grp1-srv2grp2        version, boot, number, digest, then records
+    2AbQ0cHk9+srv1grp1-srv2grp2        version, boot, number, digest, then records
 
 Servers and groups stand as four characters of a hash. Two that share them are taken for one: a hint is then
 wrong, and a hint is all that a message can be. Figures are digits to the base of 64, the largest first.
@@ -13,14 +13,20 @@
 from dataclasses import dataclass
 
 MOST_BYTES = 256  # of a datagram; a longer one voids a run
-VERSION = "1"
+VERSION = "2"
 DIGITS = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
 VALUES = {digit: value for value, digit in enumerate(DIGITS)}
-BOOT, NUMBER, DIGEST, NAME, FIGURE = 2, 3, 3, 4, 3  # characters of each
+BOOT, NUMBER, DIGEST, NAME, FIGURE, CLOCK = 2, 3, 3, 4, 3, 5  # characters of each
 HEAD = len(VERSION) + BOOT + NUMBER + DIGEST
-MOST_FIGURE = 64**FIGURE - 1
-HOLDS, DROPS, VOID, ASKS, SCALE = "+", "-", "!", "?", "="
-SIZES = {HOLDS: 2 * NAME, DROPS: 2 * NAME, VOID: 0, ASKS: 0, SCALE: FIGURE}  # characters behind the sign
+CENTI = 0.01  # s; a clock is told in hundredths of a second
+HOLDS, DROPS, COUNTS = "+", "-", "#"  # of the sender's table: pair held, pair not, connections at a server
+VOID, ASKS, SCALE = "!", "?", "="  # what I told before is void; tell me your table; my slots in a load of 1
+WISHES, GIVES = "w", "g"  # give me my token again (its number); you have it, counted from when you wished
+TIME, JUDGES = "c", "v"  # my clock; I leave this server alone until then, by my clock
+SIZES = {  # characters behind the sign
+    HOLDS: 2 * NAME, DROPS: 2 * NAME, COUNTS: NAME + FIGURE, VOID: 0, ASKS: 0, SCALE: FIGURE,
+    WISHES: FIGURE, GIVES: FIGURE, TIME: CLOCK, JUDGES: NAME + CLOCK,
+}
 
 
 class BadMessage(Exception):
@@ -29,8 +35,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """``boot`` is drawn anew at each start; ``number`` grows by one a message; ``digest`` sums up what the
-    sender has told to hold with this message. A record is its sign and what follows it."""
+    """``boot`` is drawn anew at each start; ``number`` grows by one a message; ``digest`` sums up the table
+    that the sender has told, this message included. A record is its sign and what follows it."""
 
     boot: int
     number: int
@@ -39,6 +45,7 @@
 
 
 def write_figure(value: int, size: int) -> str:
+    """The last ``size`` digits: what does not fit begins again at 0."""
     text = ""
     for _ in range(size):
         value, digit = divmod(value, 64)
@@ -55,10 +62,14 @@
     return value
 
 
+def at_most(value: int, size: int) -> str:
+    return write_figure(min(max(0, value), 64**size - 1), size)
+
+
 def name(identifier: str) -> str:
     """A server's or a group's short name."""
     digest = hashlib.blake2b(identifier.encode(), digest_size=NAME).digest()
-    return write_figure(int.from_bytes(digest, "big") % 64**NAME, NAME)
+    return write_figure(int.from_bytes(digest, "big"), NAME)
 
 
 def write(message: Message) -> str:
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -15,7 +15,7 @@
 import random
 from enum import Enum, IntEnum
 
-from saltcourse.fleet.holdings import Holdings
+from saltcourse.fleet.core import Fleet
 from saltcourse.interface import (
     NEVER_RAN, Action, ClientGone, ConnectionResumed, DelayNote, Discovery, Effect, Established, Event,
     Fail, FetchList, ListKind, LoadNote, Member, MembersChanged, Move, NewRequest, Outcome, PeerMessage,
@@ -63,8 +63,8 @@
 LOADS_MEANT = 100  # told loads over which the load of one slot is a mean
 LAST_TRY = 0.1  # s of a request's time under which another attempt is not worth sending
 PICK_TRIES = 60  # uniform draws before the exact scan; each is accepted with room over largest room
+PROBES = 20.0  # a second that one server gets of all nodes together: some percent of a core
 FURTHER = 0.36  # of a server's whole load: the room at which a group that stands elsewhere may come to it
-FIRST = 0.08  # the same for a group that stands nowhere; about what its first connection costs
 EASE_LOAD = 0.45  # mean reported load under which a crossing costs more than a group's further server
 HALF, FRESH = TARGET / 2, 0.5  # s for which a report of HALF or more saves another probe
 LOOKS = 3  # servers asked for their load before a placement, one after another, where probes tell it
@@ -84,13 +84,14 @@
     TRIAL = 3  # that connection is out
 
 
-Sign = Enum("Sign", "SENT VOID TOOK FAILED RESTED")
+Sign = Enum("Sign", "SENT VOID TOOK FAILED RESTED WARNED")
 AFTER = {  # a server's health after each sign; what it was: USABLE, RESTING, DUE, TRIAL
     Sign.SENT: (Health.USABLE, Health.RESTING, Health.TRIAL, Health.TRIAL),  # an attempt goes there
     Sign.VOID: (Health.USABLE, Health.RESTING, Health.DUE, Health.DUE),  # the trial ended and tells nothing
     Sign.TOOK: (Health.USABLE,) * 4,  # it took a connection, or was alive to turn one away
     Sign.FAILED: (Health.RESTING,) * 4,  # it is to blame for a failure
     Sign.RESTED: (Health.USABLE, Health.DUE, Health.DUE, Health.TRIAL),  # its rest is over
+    Sign.WARNED: (Health.DUE, Health.RESTING, Health.DUE, Health.TRIAL),  # another node leaves it alone
 }
 
 
@@ -174,7 +175,7 @@
         self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
         self.per_load, self.mean_report = 0.0, 0.5  # slots for a server's whole load
         self.look = settings.reports_load and settings.may_probe
-        self.peers = Holdings(settings, seed)
+        self.peers = Fleet(settings, seed, PROBES)
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self.slow_message = min(aims) / 3 if aims else float("inf")
         self.handlers = {
@@ -182,7 +183,7 @@
             ConnectionResumed: self._on_resumed, Established: self._on_established,
             Outcome: self._on_outcome, ClientGone: self._on_gone, LoadNote: self._on_load,
             DelayNote: self._on_delay, TimerFired: self._on_timer, ProbeResult: self._on_probe,
-            PeerMessage: lambda e: self.peers.heard(self.now, e.sender, e.data),
+            PeerMessage: self._on_peer,
         }
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -252,7 +253,8 @@
     def _cold_gap(self, server: Server) -> float:
         """Seconds between this node's slots to a cold server, so that all nodes fill it over its warm-up."""
         level = self.level if server.near == 1.0 else self.far_level
-        return self.settings.warm_up / max(0.25, server.size * (level - FEW_SLOTS + 0.5))
+        slots = max(0.25, server.size * (level - FEW_SLOTS + 0.5)) * self.peers.pace(self.now)
+        return self.settings.warm_up / slots
 
     # ---- health ---------------------------------------------------------------------------------
 
@@ -270,6 +272,7 @@
             server.failures += 1  # what was sent before does not lengthen the rest
             wait = min(LONGEST_BACKOFF, FIRST_BACKOFF * 2.0 ** (server.failures - 1))
             server.down_until = self.now + wait * (0.75 + self.random.random() / 2)
+            self.peers.judge(server.id, server.down_until)
             self._strike(server.zone)
         if server.health in (Health.RESTING, Health.TRIAL) and server in self.ready and len(self.ready) > 1:
             self.ready.remove(server)
@@ -317,8 +320,7 @@
             server.slow_until = self.now
 
     def _set_up(self, server: Server, took: float) -> None:
-        """A set-up waits behind the work piled up at its server, and so do messages there. Not every
-        server's messages can be timed; where none can, this is the only sign before it drops some."""
+        """A set-up waits behind piled-up work, as messages do; where none is timed it is the only sign."""
         if took > SLOW_SETUP * self.usual_setup > 0:
             self._strained(server, dropped=False)
             if self.largest_room > 0 and server.cut_at == self.now:  # in a burst many tell of one jam
@@ -361,8 +363,7 @@
                                         for s in self.ready]):
             self._move([r for r in full.held.values() if r.group == group])
 
-    @staticmethod
-    def _fair(servers: list[Server]) -> float:
+    def _fair(self, servers: list[Server]) -> float:
         """What a server of mean size may hold and still be sent more of a group that it holds."""
         return sum([s.load for s in servers]) / max(1.0, sum([s.slots for s in servers])) + UNEVEN
 
@@ -412,8 +413,7 @@
         return max(level * (1 - TICK / LEVEL_MEMORY), mean + FEW_SLOTS)
 
     def _learn_capacity(self) -> None:
-        """Slots that this node may fill on each server: its own slots there over the load they make,
-        pooled over the servers of one kind, for on one server a node may hold less than one."""
+        """Slots that this node may fill on each server: its own over the load they make, pooled by kind."""
         heard = [s for s in self.ready if s.report_at > self.now - REPORT_STALE and s.report_load > 0.02]
         own, told = sum([s.load for s in heard]), sum([s.report_load for s in heard])
         if own <= 0:
@@ -483,8 +483,7 @@
     def _gathered(self, group: str, homes: list[Server], able: list[Server]) -> Server | None:
         """A group costs every server that holds any of it. Where reported loads show that cost, a fleet that
         spreads its groups is full with half the connections: refused is better than spread."""
-        least = FURTHER if homes else FIRST
-        roomy = [s for s in able if s.ceiling - s.load >= least * s.whole]
+        roomy = [s for s in able if s.ceiling - s.load >= (FURTHER if homes else 0.0) * s.whole]
         if self.mean_report < EASE_LOAD:
             found = (self._agreed(group, [s for s in homes if s.near == 1.0])
                      or self._agreed(group, [s for s in roomy if s.near == 1.0]))
@@ -526,14 +525,13 @@
         """Not tried, not cold beyond its share, where repeats are dropped, and still ready after a probe."""
         if server.next_send > self.now or server.state is not ServerState.READY or server in request.tried:
             return False
-        ran = request.may_have_run
-        if ran is None or request.klass.effect is Effect.SAFE:
+        ran, klass = request.may_have_run, request.klass
+        if ran is None or klass.effect is Effect.SAFE:
             return True
-        if request.klass.effect is Effect.UNSAFE or self.now >= request.ran_at + request.klass.window:
+        if klass.effect is Effect.UNSAFE or self.now >= request.ran_at + klass.window:
             return False
-        scope = request.klass.scope
-        return scope is Scope.ALL or server.zone == ran.zone and (
-            scope is Scope.ZONE or server.cell == ran.cell)
+        return klass.scope is Scope.ALL or server.zone == ran.zone and (
+            klass.scope is Scope.ZONE or server.cell == ran.cell)
 
     def _clean(self, server: Server) -> bool:
         return server.unclean_until <= self.now and (
@@ -730,6 +728,10 @@
             if not request.out:
                 del self.requests[event.request]
 
+    def _on_peer(self, event: PeerMessage) -> None:
+        for name in self.peers.heard(self.now, event.sender, event.data, self.servers):
+            self._sign(self.servers[name], Sign.WARNED)
+
     def _on_load(self, event: LoadNote) -> None:
         request = self.requests.get(event.request)
         if request is None or request.server is None or not request.out:
@@ -780,7 +782,7 @@
 
     def _ask(self, server: Server, fresh: float) -> bool:
         """Whether its load is being asked for; a report that is fresh needs no question."""
-        if not server.probing and server.report_at < self.now - fresh:
+        if not server.probing and server.report_at < self.now - fresh and self.peers.pay(self.now, server.id):
             server.probing = True
             self.out.append(Probe(server.id))
         return server.probing
@@ -804,9 +806,8 @@
 
     def _heard(self, server: Server, load: float) -> None:
         if load != server.report_load:
-            server.report_before = server.report_load
-        server.report_load, server.report_at = load, self.now
-        server.renew_at = self.now + (REPORT_STALE if load < TARGET else TICK)
+            server.report_before, server.report_load = server.report_load, load
+        server.report_at, server.renew_at = self.now, self.now + (REPORT_STALE if load < TARGET else TICK)
         over = min(load, server.report_before)
         if over > 1 and server.fails >= OVER:  # neither a stall nor one bad report
             server.fails, server.limit = 0, server.load * TARGET / over
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import socket
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -15,7 +16,9 @@
 from saltcourse import interface as lg
 from saltcourse.config import PeerAddresses
 from saltcourse.emulator.simnet import Host, Link, Network
-from saltcourse.fleet.holdings import SILENT, Holdings
+from saltcourse.fleet.core import SILENT, Fleet, Sends
+from saltcourse.fleet.shares import Shares, Terms
+from saltcourse.fleet.verdicts import Verdicts
 from saltcourse.fleet.words import MOST_BYTES, BadMessage, Message, read, write
 from saltcourse.net.peers import PeerLink
 from tests.node import Node, members, settings
@@ -31,7 +34,8 @@
     return found
 
 
-RECORDS = st.sampled_from(["+srv1grp1", "-srv1grp1", "!", "?", "=0Ab"])
+RECORDS = st.sampled_from([
+    "+srv1grp1", "-srv1grp1", "#srv1AAB", "!", "?", "=0Ab", "wAAA", "cAAAAA", "vsrv1AAAAB"])
 
 
 @given(st.text(max_size=300) | st.builds(lambda m, cut: write(m)[:cut], st.builds(
@@ -45,38 +49,69 @@
     assert write(message) == text
 
 
-class Fleet:
-    """Registers that change at random on the simulated network; every copy is compared with its owner's."""
+class Proxies:
+    """Fleets on the simulated network whose holdings change at random, judged from outside."""
 
-    def __init__(self, seed: int, link: Link, core: type[Holdings] = Holdings, count: int = 4) -> None:
-        self.random, self.core, self.count = random.Random(seed), core, count
-        hosts = [Host(str(i), rate=1 + 0.01 * i) for i in range(count)]
+    def __init__(self, seed: int, link: Link, core: type[Fleet] = Fleet, count: int = 4,
+                 terms: Terms | None = None, counting: bool = True) -> None:
+        self.random, self.core, self.count, self.terms = random.Random(seed), core, count, terms or Terms()
+        self.counting = counting
+        hosts = [Host(str(i), rate=1 + (i % 3 - 1) * self.terms.drift, offset=1e5 * i) for i in range(count)]
         self.net = Network(seed, hosts, link, self._got, None)
-        self.cores: list[Holdings] = []
+        self.cores = [self._fresh(i) for i in range(count)]
         self.changing = True
         self.most = 0
+        self.held: list[dict[str, int]] = [{} for _ in range(count)]
+        self.paid: list[float] = []  # true times at which any proxy spent one of the server's budget
+        self.shares: list[float] = []  # of all live proxies together, at one moment each
+        self.verdicts: dict[str, float] = {}  # server -> true time at which the latest verdict on it ends
+        self.outlived: list[tuple[float, str]] = []
         for i in range(count):
-            self.cores.append(core(self.settings(i), self.random.getrandbits(12)))
             hosts[i].alive = True
             self.net.at(0.1 * self.random.random(), partial(self._step, i))
 
-    def settings(self, index: int) -> lg.Settings:
-        return settings(balancers=self.count, index=index, peers=True, groups=True)
+    def _fresh(self, index: int) -> Fleet:
+        core = self.core(settings(balancers=self.count, index=index, peers=True, groups=True),
+                         self.random.getrandbits(12), 20.0, self.terms)
+        core.counting = self.counting
+        return core
 
     def restart(self, index: int) -> None:
-        self.cores[index] = self.core(self.settings(index), self.random.getrandbits(12))
+        host = self.net.hosts[str(index)]
+        self.net.crash(host, keeps_disk=False)
+        host.alive = True
+        self.cores[index], self.held[index] = self._fresh(index), {}
+        self.net.at(self.net.now, partial(self._step, index))
+
+    def clock(self, index: int) -> float:
+        return self.net.hosts[str(index)].clock(self.net.now)
 
     def _step(self, index: int) -> None:
-        core = self.cores[index]
-        if self.changing and self.random.random() < 0.3:
-            draw = self.random.randrange
-            core.hold(f"s{draw(8)}", f"g{draw(9)}", draw(5) < 3)
-        self._tell(index)
-        self.net.at(self.net.now + 0.1, partial(self._step, index))
-
-    def _tell(self, index: int) -> None:
         host = self.net.hosts[str(index)]
-        for peer, text in self.cores[index].due(host.clock(self.net.now)):
+        life = host.life
+        if not host.stopped:
+            self._act(index)
+            self._send(index, self.cores[index].due(self.clock(index)))
+        self.net.at(self.net.now + 0.1, lambda: self._step(index) if host.life == life else None)
+
+    def _act(self, index: int) -> None:
+        core, draw, now = self.cores[index], self.random.randrange, self.clock(index)
+        if core.pay(now, "s0"):
+            self.paid.append(self.net.now)
+        self.shares.append(sum(c.shares.share(self.clock(i)) for i, c in enumerate(self.cores)))
+        if self.changing and draw(10) < 3:
+            server, more = f"s{draw(8)}", draw(5) < 3
+            core.hold(server, f"g{draw(9)}", more)
+            self.held[index][server] = max(0, self.held[index].get(server, 0) + (1 if more else -1))
+            core.stands(server, self.held[index][server])
+        if self.changing and draw(100) < 2:
+            length = 0.3 + 6 * self.random.random()
+            server = f"s{draw(8)}"
+            core.judge(server, now + length)
+            self.verdicts[server] = max(self.verdicts.get(server, 0.0), self.net.now + 1.02 * length)
+
+    def _send(self, index: int, sends: Sends) -> None:
+        for peer, text in sends:
             self.most = max(self.most, len(text))
             for other in range(self.count) if peer is None else [peer]:
                 if other != index:
@@ -84,73 +119,147 @@
 
     def _got(self, host: Host, event: Any) -> None:
         sender, text = event
-        self.cores[int(host.name)].heard(host.clock(self.net.now), sender, text)
+        index = int(host.name)
+        servers = [f"s{i}" for i in range(8)]
+        for server in self.cores[index].heard(self.clock(index), sender, text, servers):
+            if self.net.now > self.verdicts[server] + self.net.link.delay[1]:
+                self.outlived.append((self.net.now, server))
 
     def wrong(self) -> list[tuple[int, int]]:
-        """Whose copy of whose register differs, also in the index by which the module asks."""
+        """Whose copy of whose table differs, also in the index by which the module asks."""
         found = []
         for i, core in enumerate(self.cores):
             for j, other in enumerate(self.cores):
-                indexed = {pair for pair, peers in core.holders.items() if j in peers}
-                if i != j and not (j in core.others and core.others[j].pairs == indexed == other.own):
+                indexed = {key for key, peers in core.holders.items() if j in peers}
+                if i != j and not (j in core.peers and core.peers[j].copy.entries == other.table.own
+                                   and indexed == set(other.table.own)):
                     found.append((i, j))
         return found
 
-
-def trouble(fleet: Fleet) -> list[tuple[int, int]]:
-    """A cut of one proxy for longer than silence is borne, a cut of half, a restart; then 15 s of quiet with
-    a tenth of the messages still lost."""
-    net = fleet.net
+    def overspent(self, rate: float = 20.0) -> bool:
+        """More than the budget's rate and burst in any span of time, or shares that pass the whole."""
+        burst = 2.0 * self.count
+        low = 0.0
+        for n, at in enumerate(sorted(self.paid)):
+            level = n - rate * (1 + self.terms.drift) * at  # spent before, less what the rate allows
+            low = min(low, level)
+            if level + 1 - low > burst + 1e-6:
+                return True
+        return max(self.shares) > 1 + 1e-9
+
+
+def trouble(proxies: Proxies) -> list[tuple[int, int]]:
+    """A cut of one proxy for longer than silence is borne, a stop of another, a restart while others are cut
+    off; then 15 s of quiet with a tenth of the messages still lost."""
+    net, last = proxies.net, proxies.count - 1
     net.run(5.0)
-    for other in range(1, fleet.count):
-        net.cut("0", str(other), both=fleet.random.random() < 0.5)
-    net.run(5.0 + SILENT + 2)
+    for other in range(1, proxies.count):
+        net.cut("0", str(other), both=proxies.random.random() < 0.5)
+    net.run(9.0)
+    net.stop(net.hosts[str(last)])
+    net.run(9.0 + SILENT + 2)
     net.heal()
+    net.go_on(net.hosts[str(last)])
     net.run(net.now + 3)
-    fleet.restart(fleet.random.randrange(fleet.count))
-    net.cut("0", "2")
-    net.cut("1", "3")
+    proxies.restart(proxies.random.randrange(proxies.count))
+    net.cut("0", str(last // 2 + 1))
+    net.cut("1", str(last))
     net.run(net.now + 4)
     net.heal()
-    fleet.changing = False
+    proxies.changing = False
     net.link = Link(delay=(0.002, 0.03), loss=0.1)
     net.run(net.now + 15)
-    return fleet.wrong()
+    return proxies.wrong()
+
 
+@pytest.mark.parametrize("seed", range(16))
+def test_copies_agree_budgets_hold_and_verdicts_end_after_losses_cuts_stops_and_restarts(seed: int) -> None:
+    link = Link(delay=(0.0017, 0.3), loss=(seed % 6) * 0.1, double=0.2)
+    proxies = Proxies(seed, link, count=3 + seed % 4)
+    assert trouble(proxies) == []
+    assert 0 < proxies.most <= MOST_BYTES
+    assert not proxies.overspent() and len(proxies.paid) > 300
+    assert not proxies.outlived
 
-@pytest.mark.parametrize("seed", range(12))
-def test_copies_agree_after_losses_cuts_and_restarts(seed: int) -> None:
-    fleet = Fleet(seed, Link(delay=(0.0017, 0.3), loss=(seed % 6) * 0.1, double=0.2))
-    assert trouble(fleet) == [] and 0 < fleet.most <= MOST_BYTES
 
+def caught(core: type[Fleet], judge: Callable[[Proxies], object]) -> bool:
+    """Whether the judge finds fault with a broken core on any of some seeds."""
+    for seed in range(8):
+        proxies = Proxies(seed, Link(delay=(0.0017, 0.3), loss=0.3), core)
+        trouble(proxies)
+        if judge(proxies):
+            return True
+    return False
+
+
+def test_the_judges_catch_broken_cores() -> None:
+    class Proud(Fleet):
+        """Never asks for what it has missed."""
 
-def test_the_comparison_catches_a_proxy_that_never_asks() -> None:
-    class Proud(Holdings):
         def _doubted(self, now: float) -> list[int]:
             return []
 
-    assert any(trouble(Fleet(seed, Link(delay=(0.0017, 0.3), loss=0.3), Proud)) for seed in range(3))
+    class Hasty(Shares):
+        """Inherits a token as soon as it starts, and counts its own from the answer, not from the wish."""
 
+        def _begin(self, now: float) -> None:
+            self.promised = self.promised or dict.fromkeys(self.owners, now)
 
-def test_a_proxy_that_falls_silent_is_forgotten_and_one_that_lives_is_not() -> None:
-    fleet = Fleet(5, Link())
-    fleet.net.run(4.0)
-    fleet.changing = False
-    fleet.net.run(6.0)
-    lost = set(fleet.cores[3].own)
-    assert lost and not fleet.wrong()
-    for other in "012":
-        fleet.net.cut("3", other)
-    fleet.net.run(6.0 + SILENT + 2)
-    assert all(3 not in core.others for core in fleet.cores[:3])
-    assert {(i, j) for i, j in fleet.wrong() if 3 not in (i, j)} == set()  # nothing told for 20 s but life
+        def take(self, now: float, sender: int, sign: str, rest: str) -> list[str]:
+            self.wishes = dict.fromkeys(self.wishes, now)
+            return super().take(now, sender, sign, rest)
 
+    class Greedy(Fleet):
+        def __init__(self, *args: Any) -> None:
+            super().__init__(*args)
+            self.shares = Hasty(self.index, self.shares.count, self.terms)
 
-def test_a_register_tells_nothing_where_proxies_may_not_talk() -> None:
-    for changes in ({"peers": False}, {"groups": False}, {"balancers": 1}):
-        core = Holdings(settings(**({"balancers": 4, "peers": True, "groups": True} | changes)), 1)
+    class Ageless(Verdicts):
+        """Counts a verdict's time from its coming."""
+
+        def _left(self, now: float, sender: int, theirs: int) -> float:
+            return 1.0
+
+    class Late(Fleet):
+        def __init__(self, *args: Any) -> None:
+            super().__init__(*args)
+            self.verdicts = Ageless(self.terms.drift)
+
+    assert caught(Proud, Proxies.wrong)
+    assert caught(Greedy, Proxies.overspent)
+    assert caught(Late, lambda proxies: proxies.outlived)
+
+
+def test_a_lost_proxy_is_given_up_its_share_inherited_and_its_connections_fade_to_a_bound() -> None:
+    proxies = Proxies(5, Link(), count=4)
+    proxies.net.run(8.0)
+    proxies.changing = False
+    proxies.net.run(13.0)
+    key = max(proxies.held[3], key=lambda s: proxies.held[3][s])
+    lost, others = proxies.held[3][key], sum(h.get(key, 0) for h in proxies.held[:3])
+    assert lost > 1 and not proxies.wrong()
+    assert proxies.cores[0].connections(proxies.clock(0), key) == lost + others
+    assert all(c.pace(proxies.clock(i)) == pytest.approx(1.0) for i, c in enumerate(proxies.cores))
+    for other in "012":
+        proxies.net.cut("3", other)
+    proxies.net.run(13.0 + SILENT + 6)
+    assert all(3 not in core.peers for core in proxies.cores[:3])
+    assert all(3 in pair for pair in proxies.wrong())  # nothing told for 20 s but life
+    assert proxies.cores[0].pace(proxies.clock(0)) == pytest.approx(1.0)  # a token lost, one inherited
+    assert not proxies.overspent()
+    proxies.net.run(13.0 + SILENT + 6 + 600)
+    assert proxies.cores[0].connections(proxies.clock(0), key) == pytest.approx(
+        others + min(lost, others / 3), abs=0.1)
+
+
+def test_nothing_is_told_where_proxies_may_not_talk_and_the_equal_part_is_kept() -> None:
+    for changes in ({"peers": False}, {"balancers": 1}):
+        core = Fleet(settings(**({"balancers": 4, "peers": True, "groups": True} | changes)), 1, 20.0)
         core.hold("s0", "g0", True)
-        assert core.due(1.0) == []
+        assert core.due(1.0) == [] and core.pace(1.0) == 1.0
+        spent = sum(core.pay(1.0 + i / 100, "s0") for i in range(1000))  # 10 s
+        parts = 4 if "peers" in changes else 1
+        assert 10 * 20 / parts - 1 <= spent <= 10 * 20 / parts + 2
 
 
 def test_a_group_goes_where_a_peer_says_that_it_holds_it() -> None:
@@ -174,7 +283,7 @@
     node.list(members(2))
     for i, group in enumerate("abbb"):
         node.give(lg.ConnectionResumed(f"c{i}", "quick", "s0", group=group))
-    peer = Holdings(settings(balancers=2, index=1, peers=True, groups=True), 3)
+    peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, 20.0)
     peer.hold("s0", "a", True)
     for _, text in peer.due(node.now):
         node.give(lg.PeerMessage(1, text))
@@ -188,7 +297,7 @@
     node = Node(reports_load=True, may_probe=True, groups=True, peers=True, balancers=2)
     node.list(members(2))
     node.give(lg.ProbeResult("s0", lg.Status.OK, report=lg.LoadReport(load=0.1)))
-    peer = Holdings(settings(balancers=2, index=1, peers=True, groups=True), 3)
+    peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, 20.0)
     peer.tell_scale(20.0)
     before = node.balancer.servers["s0"].ceiling
     for _, text in peer.due(node.now):
@@ -207,7 +316,7 @@
         loop = asyncio.get_running_loop()
         stranger, _ = await loop.create_datagram_endpoint(
             asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0))
-        for data in (b"1AAAAAAAAA", b"\xff", b"x" * 300):
+        for data in (b"2AAAAAAAA", b"\xff", b"x" * 300):
             stranger.sendto(data, each[1])
         links[0]._transport.sendto(b"x" * 300, each[1])  # type: ignore[union-attr]
         links[0]._transport.sendto(b"\xff\n", each[1])  # type: ignore[union-attr]
