--- a/saltcourse/fleet/core.py
+++ b/saltcourse/fleet/core.py
@@ -125,7 +125,8 @@
         budget = self.budgets.get(server)
         if budget is None:
             # The smallest share holds one. A budget is empty at the start: an earlier life may have spent it.
-            budget = Budget(self.rate, 2.0 * self.shares.count, 0.0, self._began(now))
+            burst = 2.0 * self.shares.count
+            budget = Budget(self.rate, burst, burst if self.shares.alone else 0.0, self._began(now))
             self.budgets[server] = budget
         return budget.spend(now, self.shares.share(now))
 
