--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import sys
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -65,11 +66,23 @@
 def _load_both(path: str | None, operator: str | None) -> tuple[Config, OperatorSettings | None]:
     config = _load(path)
     settings = _load_operator(operator, config.name)
-    if settings is not None and settings.membership is not None and not config.settings.peers:
-        click.echo("saltcourse: configuration: membership: the deployment's settings say that proxies may "
-                   "not talk to each other ('settings.limits.peers')", err=True)
-        raise SystemExit(EXIT_CONFIG)
-    return config, settings
+    for part in ("membership", "fleet"):
+        if settings is not None and getattr(settings, part) is not None and not config.settings.peers:
+            click.echo(f"saltcourse: configuration: {part}: the deployment's settings say that proxies may "
+                       "not talk to each other ('settings.limits.peers')", err=True)
+            raise SystemExit(EXIT_CONFIG)
+    return _with_terms(config, settings), settings
+
+
+def _with_terms(config: Config, operator: OperatorSettings | None) -> Config:
+    """The operator's terms for the fleet stand in the settings that the module is told."""
+    if operator is None or operator.fleet is None:
+        return config
+    return replace(config, settings=replace(config.settings, fleet=operator.fleet))
+
+
+def _reread(path: str | None, operator: OperatorSettings | None) -> Config:
+    return _with_terms(load_config(path, os.environ, again=True), operator)
 
 
 config_option = click.option(
@@ -99,7 +112,7 @@
 
         beside = Beside(settings.membership, partial(_reread_membership, operator, config.name))
     try:
-        serve_forever(config, partial(load_config, path, os.environ, again=True), beside)
+        serve_forever(config, partial(_reread, path, settings), beside)
     except CannotListen as wrong:
         click.echo(f"saltcourse: {wrong}", err=True)
         raise SystemExit(EXIT_LISTEN) from None
--- a/saltcourse/config/operator.py
+++ b/saltcourse/config/operator.py
@@ -18,6 +18,7 @@
 from google.protobuf import text_format
 
 from saltcourse.config import ConfigError
+from saltcourse.interface import FleetTerms
 from saltcourse.membership.seal import LEAST_KEY, MOST_KEYS
 from saltcourse.membership.words import MOST_MEMBERS, Seat, Timing
 from saltcourse.schema import operator_pb2 as pb
@@ -65,6 +66,7 @@
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
     membership: MembershipSettings | None
+    fleet: FleetTerms | None
 
 
 def key_lines(text: str) -> dict[str, int]:
@@ -142,6 +144,21 @@
             self.wrong(key, f"must be from {least:g} to {most:g}, not {value:g}")
         return value
 
+    # ---- fleet ------------------------------------------------------------------------------------
+
+    def fleet(self) -> FleetTerms | None:
+        if not self.file.HasField("fleet"):
+            return None
+        told, usual = self.file.fleet, FleetTerms()
+        try:
+            return FleetTerms(
+                told.term_s if told.HasField("term_s") else usual.term,
+                told.drift if told.HasField("drift") else usual.drift, told.counts,
+                told.probes_per_s if told.HasField("probes_per_s") else usual.probes)
+        except ValueError as wrong:
+            key, _, what = str(wrong).removeprefix("setting ").partition(": ")
+            self.wrong(key, f"must be {what}")
+
     # ---- membership -------------------------------------------------------------------------------
 
     def membership(self) -> MembershipSettings | None:
@@ -256,7 +273,8 @@
 
 def read_operator(path: Path, me: str) -> OperatorSettings:
     """``me`` is the name of this instance where the file does not give it."""
-    return OperatorSettings(_Reader(path, me).membership())
+    reader = _Reader(path, me)
+    return OperatorSettings(reader.membership(), reader.fleet())
 
 
 def operator_path(given: str | None, environment: Mapping[str, str]) -> Path | None:
--- a/saltcourse/fleet/core.py
+++ b/saltcourse/fleet/core.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
-from saltcourse.fleet.shares import Budget, Shares, Terms
+from saltcourse.fleet.shares import BEATS, Budget, Shares
 from saltcourse.fleet.table import Copy, Table
 from saltcourse.fleet.verdicts import Verdicts
 from saltcourse.fleet.words import (
@@ -20,8 +21,6 @@
 from saltcourse.interface import Settings
 
 PACE = 0.05  # s between messages of one proxy to all: what changes meanwhile goes together
-BEAT = 4.0  # s after which a proxy with nothing to tell gives a sign of life
-SILENT = 3 * BEAT  # s without a message after which a peer is given up and its table with it
 DOUBT = 1.0  # s that a copy may differ before its owner is asked: what is under way may still come
 ASK_AGAIN = 1.5  # s until the next question to the same peer
 NUMBERS = 1 << 6 * NUMBER  # of messages, before they begin again
@@ -62,22 +61,26 @@
         return self.number + (number - self.number + NUMBERS // 2) % NUMBERS - NUMBERS // 2
 
 
+class Holding(Protocol):
+    """What the module knows of a server, as far as it is told on."""
+
+    count: int  # connections that stand there through this proxy
+
+
 class Fleet:
-    def __init__(self, settings: Settings, boot: int, rate: float, terms: Terms | None = None) -> None:
-        """``boot``: another figure with each start of this proxy. ``rate``: what the whole fleet may spend a
-        second on one server, of what ``pay`` is asked for."""
+    def __init__(self, settings: Settings, boot: int, servers: Mapping[str, Holding]) -> None:
+        """``boot``: another figure with each start of this proxy. ``servers``: those that it knows now."""
         self.index, self.count = settings.index, settings.balancers if settings.peers else 1
         self.boot, self.number = boot % 64**BOOT, 0
-        self.terms = terms or Terms()
+        self.terms, self.servers = settings.fleet, servers
+        self.beat = self.terms.term / BEATS  # s after which a proxy with nothing to tell gives a sign of life
         self.table, self.peers = Table(), dict[int, Peer]()
         self.shares = Shares(self.index, settings.balancers, self.terms, alone=self.count < 2)
-        self.rate = rate
         self.budgets: dict[str, Budget] = {}
         self.verdicts = Verdicts(self.terms.drift)
         self.holders: dict[str, set[int]] = {}  # pair -> the peers that hold it
         self.scale = self.scale_told = 0.0
         self.least_scale = 0.0  # what this proxy's is at least, by what the peers tell; 0 while none does
-        self.counting = False  # numbers of connections are told too
         self.lost: dict[int, tuple[float, dict[str, int]]] = {}  # peer -> when it was given up, what it held
         self.answers: dict[int, list[str]] = {}  # peer -> records that it alone is to get
         self.askers: set[int] = set()  # peers that are to be told the whole table
@@ -97,11 +100,6 @@
         if self.count > 1:
             self.table.set(self._name(server) + self._name(group), "" if held else None)
 
-    def stands(self, server: str, connections: int) -> None:
-        """So many connections stand there through this proxy."""
-        if self.count > 1 and self.counting:
-            self.table.count(self._name(server), connections)
-
     def tell_scale(self, scale: float) -> None:
         """This proxy's slots in a server's whole load; told when it has changed by a fifth."""
         if abs(scale - self.scale) > 0.2 * self.scale:
@@ -120,13 +118,13 @@
         self.began = now if self.began is None else self.began
         return self.began
 
-    def pay(self, now: float, server: str) -> bool:
-        """One of what the fleet may do there so often a second, if this proxy's share has it left."""
+    def may_probe(self, now: float, server: str) -> bool:
+        """One probe there of those that the fleet may send in a second, if this proxy's share has it left."""
         budget = self.budgets.get(server)
         if budget is None:
             # The smallest share holds one. A budget is empty at the start: an earlier life may have spent it.
             burst = 2.0 * self.shares.count
-            budget = Budget(self.rate, burst, burst if self.shares.alone else 0.0, self._began(now))
+            budget = Budget(self.terms.probes, burst, burst if self.shares.alone else 0.0, self._began(now))
             self.budgets[server] = budget
         return budget.spend(now, self.shares.share(now))
 
@@ -151,10 +149,10 @@
 
     def handle(self, now: float, event: Event) -> Sends:
         if isinstance(event, Heard):
-            self.heard(now, event.sender, event.text, ())
+            self.heard(now, event.sender, event.text)
         return self.due(now)
 
-    def heard(self, now: float, sender: int, text: str, servers: Iterable[str]) -> list[str]:
+    def heard(self, now: float, sender: int, text: str) -> list[str]:
         """Those of the servers that a peer leaves alone, when the message brings a verdict."""
         if sender == self.index or not 0 <= sender < self.count:
             return []
@@ -175,10 +173,12 @@
             self._take(now, sender, peer, number, record[0], record[1:])
         if peer.copy.digest == peer.told:
             peer.sound, peer.ask_at = now, 0.0
-        if not any([r[0] == JUDGES for r in message.records]):
-            return []
+        return self.judged(now) if any([r[0] == JUDGES for r in message.records]) else []
+
+    def judged(self, now: float) -> list[str]:
+        """Servers that a peer leaves alone now."""
         standing = self.verdicts.standing(now)
-        return [s for s in servers if self._name(s) in standing]
+        return [s for s in self.servers if self._name(s) in standing]
 
     def _take(self, now: float, sender: int, peer: Peer, number: int, sign: str, rest: str) -> None:
         if sign in (HOLDS, DROPS, COUNTS, VOID):
@@ -217,7 +217,7 @@
         self._began(now)
         pressing = self.answers or self.askers or (now >= self.sent_at + PACE and (
             self.table.changed or self.verdicts.new))
-        if self.count < 2 or not pressing and now < min(self.ticked + DOUBT, self.beaten + BEAT):
+        if self.count < 2 or not pressing and now < min(self.ticked + DOUBT, self.beaten + self.beat):
             return []
         out: Sends = []
         asked = [s for s in range(self.count) if s != self.index] if self.number == 0 else []  # a fresh start
@@ -242,7 +242,10 @@
 
     def _news(self, now: float) -> list[str]:
         """What all are to hear. Numbers of connections change all the time and wait for the sign of life."""
-        beat = now >= self.beaten + BEAT
+        beat = now >= self.beaten + self.beat
+        if beat and self.terms.counts:
+            for server, holding in self.servers.items():
+                self.table.count(self._name(server), holding.count)
         records = self.table.changes(lambda key: beat or len(key) > NAME)
         if abs(self.scale - self.scale_told) > 0.2 * self.scale_told:
             self.scale_told = self.scale
@@ -254,7 +257,7 @@
         return records
 
     def _give_up(self, now: float) -> None:
-        for sender in [s for s, p in self.peers.items() if now > p.heard + SILENT]:
+        for sender in [s for s, p in self.peers.items() if now > p.heard + self.terms.term]:
             held = {k: read_figure(v) for k, v in self.peers[sender].copy.entries.items() if v}
             self._forget(sender)
             self.lost[sender] = now, held
--- a/saltcourse/fleet/shares.py
+++ b/saltcourse/fleet/shares.py
@@ -18,25 +18,18 @@
 from dataclasses import dataclass
 
 from saltcourse.fleet.words import FIGURE, GIVES, WISHES, read_figure, write_figure
+from saltcourse.interface import FleetTerms
 
+BEATS = 3  # wishes and signs of life in a term: two of them may be lost
 HEIRS = 3  # tokens of a proxy, at most
 WISHES_KEPT = 8  # of the latest; an answer to an older one is worth little
 WISH_NUMBERS = 64**FIGURE
 
 
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """Times in seconds; ``drift`` is by what share a clock may run too fast or too slow."""
-
-    term: float = 12.0
-    renew: float = 4.0
-    drift: float = 0.01
-
-
 class Shares:
     """``alone``: no word reaches another proxy, and the equal part is all that is safe."""
 
-    def __init__(self, index: int, count: int, terms: Terms, alone: bool = False) -> None:
+    def __init__(self, index: int, count: int, terms: FleetTerms, alone: bool = False) -> None:
         self.terms, self.count, self.alone = terms, count, alone or count < 2
         near = range(1, min(HEIRS, count - 1) + 1)
         self.heirs = [(index + step) % count for step in near]
@@ -67,7 +60,7 @@
     def wish(self, now: float) -> list[str]:
         """A record for all, when it is time for another; those that are no heirs pass it over."""
         self._begin(now)
-        if now < self.wished + self.terms.renew:
+        if now < self.wished + self.terms.term / BEATS:
             return []
         self.wished = now
         self.number = (self.number + 1) % WISH_NUMBERS
--- a/saltcourse/interface.py
+++ b/saltcourse/interface.py
@@ -115,6 +115,23 @@
     quota_connections: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class FleetTerms:
+    """How proxies that may talk hold to each other. ``term`` is how long a promise lasts, and after how long
+    a silent peer is given up (s); ``drift`` by what share a clock may run too fast or too slow; ``counts``:
+    the connections at each server are told too; ``probes`` a second that one server gets of all proxies."""
+
+    term: float = 12.0
+    drift: float = 0.01
+    counts: bool = False
+    probes: float = 20.0
+
+    def __post_init__(self) -> None:
+        _require(_number(self.term) and 1 <= self.term <= 300, "fleet.term_s", "from 1 to 300")
+        _require(_number(self.drift) and 0 <= self.drift <= 0.05, "fleet.drift", "from 0 to 0.05")
+        _require(_number(self.probes) and self.probes > 0, "fleet.probes_per_s", "above 0")
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """What a node is told at its start. Anything that does not apply keeps its default."""
@@ -151,6 +168,7 @@
     price_probe: float = 0.0
     price_move: float = 0.0
     price_peer: float = 0.0
+    fleet: FleetTerms = FleetTerms()
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "classes", "at least one class")
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -136,6 +136,14 @@
             server.state is not lg.ServerState.READY or server.health in (Health.RESTING, Health.TRIAL)))
         return len(listed), avoided
 
+    def fleet(self) -> dict[str, int]:
+        """What this proxy knows of the others and may spend by it."""
+        now, peers = self.clock.now(), self._balancer.peers
+        known = [peers.connections(now, name) for name in self._balancer.servers]
+        return {"fleet.peers": len(peers.peers), "fleet.pace": round(1000 * peers.pace(now)),
+                "fleet.judged": len(peers.judged(now)), "fleet.connections": round(sum(known)),
+                "fleet.unreadable": peers.bad}
+
     def _established(self, event: lg.Established) -> None:
         arrived, sent = self._arrived.get(event.request), self._sends.get(event.request)
         if arrived is not None and sent is not None:
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -171,7 +171,8 @@
         targets, disabled = self.decider.targets()
         # Connections that clients asked for and that have not ended; not those that only sit or PING.
         taken = sum(1 for c in self.consumers if c.stage in (Stage.WAITING, Stage.STANDING))
-        return {"concurrent": taken, "targets": targets, "targets_disabled": disabled}
+        fleet = self.decider.fleet() if self.peers is not None else {}
+        return {"concurrent": taken, "targets": targets, "targets_disabled": disabled, **fleet}
 
     def reload(self) -> None:
         """Take over what a changed configuration file says; whatever stands is left as it is.
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -63,7 +63,6 @@
 LOADS_MEANT = 100  # told loads over which the load of one slot is a mean
 LAST_TRY = 0.1  # s of a request's time under which another attempt is not worth sending
 PICK_TRIES = 60  # uniform draws before the exact scan; each is accepted with room over largest room
-PROBES = 20.0  # a second that one server gets of all nodes together: some percent of a core
 FURTHER = 0.36  # of a server's whole load: the room at which a group that stands elsewhere may come to it
 EASE_LOAD = 0.45  # mean reported load under which a crossing costs more than a group's further server
 HALF, FRESH = TARGET / 2, 0.5  # s for which a report of HALF or more saves another probe
@@ -175,7 +174,7 @@
         self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
         self.per_load, self.mean_report = 0.0, 0.5  # slots for a server's whole load
         self.look = settings.reports_load and settings.may_probe
-        self.peers = Fleet(settings, seed, PROBES)
+        self.peers = Fleet(settings, seed, self.servers)
         aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
         self.slow_message = min(aims) / 3 if aims else float("inf")
         self.handlers = {
@@ -729,7 +728,7 @@
                 del self.requests[event.request]
 
     def _on_peer(self, event: PeerMessage) -> None:
-        for name in self.peers.heard(self.now, event.sender, event.data, self.servers):
+        for name in self.peers.heard(self.now, event.sender, event.data):
             self._sign(self.servers[name], Sign.WARNED)
 
     def _on_load(self, event: LoadNote) -> None:
@@ -782,7 +781,8 @@
 
     def _ask(self, server: Server, fresh: float) -> bool:
         """Whether its load is being asked for; a report that is fresh needs no question."""
-        if not server.probing and server.report_at < self.now - fresh and self.peers.pay(self.now, server.id):
+        old = not server.probing and server.report_at < self.now - fresh
+        if old and self.peers.may_probe(self.now, server.id):
             server.probing = True
             self.out.append(Probe(server.id))
         return server.probing
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 import random
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -16,8 +17,8 @@
 from saltcourse import interface as lg
 from saltcourse.config import PeerAddresses
 from saltcourse.emulator.simnet import Host, Link, Network
-from saltcourse.fleet.core import SILENT, Fleet, Sends
-from saltcourse.fleet.shares import Shares, Terms
+from saltcourse.fleet.core import Fleet, Sends
+from saltcourse.fleet.shares import Shares
 from saltcourse.fleet.verdicts import Verdicts
 from saltcourse.fleet.words import MOST_BYTES, BadMessage, Message, read, write
 from saltcourse.net.peers import PeerLink
@@ -35,6 +36,8 @@
     return found
 
 
+TERMS = lg.FleetTerms(counts=True)
+SILENT = TERMS.term
 RECORDS = st.sampled_from([
     "+srv1grp1", "-srv1grp1", "#srv1AAB", "!", "?", "=0Ab", "wAAA", "cAAAAA", "vsrv1AAAAB"])
 
@@ -50,19 +53,23 @@
     assert write(message) == text
 
 
+@dataclass
+class Held:
+    count: int
+
+
 class Proxies:
     """Fleets on the simulated network whose holdings change at random, judged from outside."""
 
     def __init__(self, seed: int, link: Link, core: type[Fleet] = Fleet, count: int = 4,
-                 terms: Terms | None = None, counting: bool = True) -> None:
-        self.random, self.core, self.count, self.terms = random.Random(seed), core, count, terms or Terms()
-        self.counting = counting
+                 terms: lg.FleetTerms = TERMS) -> None:
+        self.random, self.core, self.count, self.terms = random.Random(seed), core, count, terms
         hosts = [Host(str(i), rate=1 + (i % 3 - 1) * self.terms.drift, offset=1e5 * i) for i in range(count)]
         self.net = Network(seed, hosts, link, self._got, None)
+        self.held = [self._empty() for _ in range(count)]
         self.cores = [self._fresh(i) for i in range(count)]
         self.changing = True
         self.most = 0
-        self.held: list[dict[str, int]] = [{} for _ in range(count)]
         self.paid: list[float] = []  # true times at which any proxy spent one of the server's budget
         self.shares: list[float] = []  # of all live proxies together, at one moment each
         self.verdicts: dict[str, float] = {}  # server -> true time at which the latest verdict on it ends
@@ -71,17 +78,20 @@
             hosts[i].alive = True
             self.net.at(0.1 * self.random.random(), partial(self._step, i))
 
+    @staticmethod
+    def _empty() -> dict[str, Held]:
+        return {f"s{i}": Held(0) for i in range(8)}
+
     def _fresh(self, index: int) -> Fleet:
-        core = self.core(settings(balancers=self.count, index=index, peers=True, groups=True),
-                         self.random.getrandbits(12), 20.0, self.terms)
-        core.counting = self.counting
-        return core
+        told = settings(balancers=self.count, index=index, peers=True, groups=True, fleet=self.terms)
+        return self.core(told, self.random.getrandbits(12), self.held[index])
 
     def restart(self, index: int) -> None:
         host = self.net.hosts[str(index)]
         self.net.crash(host, keeps_disk=False)
         host.alive = True
-        self.cores[index], self.held[index] = self._fresh(index), {}
+        self.held[index] = self._empty()
+        self.cores[index] = self._fresh(index)
         self.net.at(self.net.now, partial(self._step, index))
 
     def clock(self, index: int) -> float:
@@ -97,14 +107,13 @@
 
     def _act(self, index: int) -> None:
         core, draw, now = self.cores[index], self.random.randrange, self.clock(index)
-        if core.pay(now, "s0"):
+        if core.may_probe(now, "s0"):
             self.paid.append(self.net.now)
         self.shares.append(sum(c.shares.share(self.clock(i)) for i, c in enumerate(self.cores)))
         if self.changing and draw(10) < 3:
             server, more = f"s{draw(8)}", draw(5) < 3
             core.hold(server, f"g{draw(9)}", more)
-            self.held[index][server] = max(0, self.held[index].get(server, 0) + (1 if more else -1))
-            core.stands(server, self.held[index][server])
+            self.held[index][server].count = max(0, self.held[index][server].count + (1 if more else -1))
         if self.changing and draw(100) < 2:
             length = 0.3 + 6 * self.random.random()
             server = f"s{draw(8)}"
@@ -121,8 +130,7 @@
     def _got(self, host: Host, event: Any) -> None:
         sender, text = event
         index = int(host.name)
-        servers = [f"s{i}" for i in range(8)]
-        for server in self.cores[index].heard(self.clock(index), sender, text, servers):
+        for server in self.cores[index].heard(self.clock(index), sender, text):
             if self.net.now > self.verdicts[server] + self.net.link.delay[1]:
                 self.outlived.append((self.net.now, server))
 
@@ -236,8 +244,8 @@
     proxies.net.run(8.0)
     proxies.changing = False
     proxies.net.run(13.0)
-    key = max(proxies.held[3], key=lambda s: proxies.held[3][s])
-    lost, others = proxies.held[3][key], sum(h.get(key, 0) for h in proxies.held[:3])
+    key = max(proxies.held[3], key=lambda s: proxies.held[3][s].count)
+    lost, others = proxies.held[3][key].count, sum(h[key].count for h in proxies.held[:3])
     assert lost > 1 and not proxies.wrong()
     assert proxies.cores[0].connections(proxies.clock(0), key) == lost + others
     assert all(c.pace(proxies.clock(i)) == pytest.approx(1.0) for i, c in enumerate(proxies.cores))
@@ -255,10 +263,10 @@
 
 def test_nothing_is_told_where_proxies_may_not_talk_and_the_equal_part_is_kept() -> None:
     for changes in ({"peers": False}, {"balancers": 1}):
-        core = Fleet(settings(**({"balancers": 4, "peers": True, "groups": True} | changes)), 1, 20.0)
+        core = Fleet(settings(**({"balancers": 4, "peers": True, "groups": True} | changes)), 1, {})
         core.hold("s0", "g0", True)
         assert core.due(1.0) == [] and core.pace(1.0) == 1.0
-        spent = sum(core.pay(1.0 + i / 100, "s0") for i in range(1000))  # 10 s
+        spent = sum(core.may_probe(1.0 + i / 100, "s0") for i in range(1000))  # 10 s
         parts = 4 if "peers" in changes else 1
         assert 10 * 20 / parts - 1 <= spent <= 10 * 20 / parts + 3
 
@@ -297,7 +305,7 @@
     node.list(members(2))
     for i, group in enumerate("abbb"):
         node.give(lg.ConnectionResumed(f"c{i}", "quick", "s0", group=group))
-    peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, 20.0)
+    peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, {})
     peer.hold("s0", "a", True)
     for _, text in peer.due(node.now):
         node.give(lg.PeerMessage(1, text))
@@ -311,7 +319,7 @@
     node = Node(reports_load=True, may_probe=True, groups=True, peers=True, balancers=2)
     node.list(members(2))
     node.give(lg.ProbeResult("s0", lg.Status.OK, report=lg.LoadReport(load=0.1)))
-    peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, 20.0)
+    peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, {})
     peer.tell_scale(20.0)
     before = node.balancer.servers["s0"].ceiling
     for _, text in peer.due(node.now):
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -56,6 +56,8 @@
     assert told.places["w"] == ("::1", 7001) and told.timing.renew == pytest.approx(0.1) and not told.witness
     assert told.bgp is not None and told.bgp.hold == 3 and told.store_file is None
     assert read_operator(write(tmp_path, "# nothing\n"), "p").membership is None
+    fleet = read_operator(write(tmp_path, "fleet { term_s: 3 counts: true }"), "p").fleet
+    assert fleet is not None and (fleet.term, fleet.drift, fleet.counts) == (3, 0.01, True)
     assert read_operator(Path(__file__).parent.parent / "deploy" / "operator.txtpb", "p").membership is None
 
 
@@ -82,6 +84,17 @@
         read_operator(file, "p")
 
 
+@pytest.mark.parametrize("text, named", [
+    ("term_s: 0", "fleet.term_s: must be from 1 to 300"),
+    ("drift: 0.5", "fleet.drift: must be from 0 to 0.05"),
+    ("probes_per_s: 0", "fleet.probes_per_s: must be above 0"), ("term_s: nan", "fleet.term_s"),
+    ("probes: 3", 'no field named "probes"'),
+])
+def test_terms_of_the_fleet_that_can_not_be_are_refused(text: str, named: str, tmp_path: Path) -> None:
+    with pytest.raises(ConfigError, match=rf":2: .*{named}"):
+        read_operator(write(tmp_path, "fleet {\n  " + text + "\n}\n"), "p")
+
+
 @pytest.mark.parametrize("keys, mode, named", [
     ("ab" * 32, 0o640, "read by others"), ("abcd", 0o600, "under 16 bytes"), ("", 0o600, "not 0"),
     ("xy" * 32, 0o600, "hexadecimal"), (("ab" * 32 + "\n") * 2, 0o600, "same key twice"),
