Fleet: what was missed is told again, not the whole table; a woken process trusts no waiting word

Change: a question names the message of the last agreement and gets what came behind it (256 records kept, else the whole); messages are read by one pattern; clocks and verdicts that come within 0.5 s of a standstill are not believed; four beats a term.

--- a/saltcourse/fleet/core.py
+++ b/saltcourse/fleet/core.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -15,8 +16,8 @@
 from saltcourse.fleet.table import Copy, Table
 from saltcourse.fleet.verdicts import Verdicts
 from saltcourse.fleet.words import (
-    ASKS, BOOT, COUNTS, DROPS, FIGURE, GIVES, HEAD, HOLDS, JUDGES, MOST_BYTES, NAME, NUMBER, SCALE, TIME,
-    VOID, WISHES, BadMessage, Message, at_most, name, read, read_figure, write,
+    ASKS, ASKS_ALL, BOOT, COUNTS, DROPS, FIGURE, GIVES, HEAD, HOLDS, JUDGES, MOST_BYTES, NAME, NUMBER, SCALE,
+    TIME, VOID, WISHES, BadMessage, Message, at_most, name, read, read_figure, write, write_figure,
 )
 from saltcourse.interface import Settings
 
@@ -24,6 +25,8 @@
 DOUBT = 1.0  # s that a copy may differ before its owner is asked: what is under way may still come
 ASK_AGAIN = 1.5  # s until the next question to the same peer
 NUMBERS = 1 << 6 * NUMBER  # of messages, before they begin again
+KEPT = 256  # records told to all that can be told again to one that missed some
+STOPPED, WAKING = 3.0, 0.5  # s without any event: this process stood still; s in which it takes what waited
 LEAST_SCALE = 0.5  # of the peers' mean: one that has just started holds too little to know its own
 FADE = 30.0  # s in which what a lost peer held falls by half, down to what the others hold in the mean
 MOST_NAMES = 20_000
@@ -54,6 +57,7 @@
     told: int = 0  # the digest that it told last
     heard: float = 0.0
     sound: float = 0.0  # when the copy last agreed
+    agreed: int | None = None  # and with which message
     ask_at: float = 0.0  # when it may be asked again
     scale: float = 0.0
 
@@ -81,11 +85,13 @@
         self.holders: dict[str, set[int]] = {}  # pair -> the peers that hold it
         self.scale = self.scale_told = 0.0
         self.least_scale = 0.0  # what this proxy's is at least, by what the peers tell; 0 while none does
+        self.boots: dict[int, int] = {}  # of the peers, also of those that were given up
         self.lost: dict[int, tuple[float, dict[str, int]]] = {}  # peer -> when it was given up, what it held
         self.answers: dict[int, list[str]] = {}  # peer -> records that it alone is to get
-        self.askers: set[int] = set()  # peers that are to be told the whole table
+        self.kept: deque[tuple[int, str]] = deque(maxlen=KEPT)  # records told to all, and in which message
         self.sent_at = self.beaten = -1e9  # the last message to all; the last sign of life
         self.ticked = 0.0
+        self.seen = self.awake = -1e9  # when anything happened here; from when what comes has not waited
         self.began: float | None = None
         self.names: dict[str, str] = {}
         self.bad = 0  # messages that could not be read
@@ -156,6 +162,7 @@
         """Those of the servers that a peer leaves alone, when the message brings a verdict."""
         if sender == self.index or not 0 <= sender < self.count:
             return []
+        self._notice(now)
         try:
             message = read(text)
         except BadMessage:
@@ -164,6 +171,9 @@
         peer = self.peers.get(sender)
         if peer is None or peer.boot != message.boot:
             self._forget(sender)
+            if self.boots.get(sender) != message.boot:
+                self.boots[sender] = message.boot
+                self.verdicts.forget(sender)
             peer = self.peers[sender] = Peer(message.boot, message.number - 1, sound=now)
         self.lost.pop(sender, None)
         number, peer.heard = peer.count_on(message.number), now
@@ -172,7 +182,7 @@
         for record in message.records:
             self._take(now, sender, peer, number, record[0], record[1:])
         if peer.copy.digest == peer.told:
-            peer.sound, peer.ask_at = now, 0.0
+            peer.sound, peer.agreed, peer.ask_at = now, peer.number, 0.0
         return self.judged(now) if any([r[0] == JUDGES for r in message.records]) else []
 
     def judged(self, now: float) -> list[str]:
@@ -180,6 +190,12 @@
         standing = self.verdicts.standing(now)
         return [s for s in self.servers if self._name(s) in standing]
 
+    def _notice(self, now: float) -> None:
+        """After a stop of this process, what came meanwhile waits: how old it is cannot be told."""
+        if now > self.seen + STOPPED > 0:
+            self.awake = now + WAKING
+        self.seen = now
+
     def _take(self, now: float, sender: int, peer: Peer, number: int, sign: str, rest: str) -> None:
         if sign in (HOLDS, DROPS, COUNTS, VOID):
             for key in peer.copy.take(number, sign, rest):
@@ -188,17 +204,29 @@
                 else:
                     self._released(sender, key)
         elif sign in (WISHES, GIVES):
-            for answer in self.shares.take(now, sender, sign, rest):
-                self.answers.setdefault(sender, []).append(answer)
+            self._answer(sender, self.shares.take(now, sender, sign, rest))
         elif sign in (TIME, JUDGES):
-            self.verdicts.take(now, sender, sign, rest)
+            if now >= self.awake:
+                self.verdicts.take(now, sender, sign, rest)
+        elif sign == ASKS_ALL:
+            self._answer(sender, self._all())
         elif sign == ASKS:
-            self.askers.add(sender)
+            since = self.number - (self.number - read_figure(rest)) % NUMBERS
+            missed = {r[1:1 + (NAME if r[0] == COUNTS else 2 * NAME)]: r for n, r in self.kept if n > since}
+            known = since >= 0 and (len(self.kept) < KEPT or self.kept[0][0] <= since)
+            self._answer(sender, list(missed.values()) if known else self._all())
         elif sign == SCALE:
             peer.scale = read_figure(rest) / 100
             told = [p.scale for p in self.peers.values() if p.scale > 0]
             self.least_scale = LEAST_SCALE * sum(told) / len(told) if told else 0.0
 
+    def _answer(self, sender: int, records: list[str]) -> None:
+        if records:
+            self.answers.setdefault(sender, []).extend(records)
+
+    def _all(self) -> list[str]:
+        return [*self.table.whole(), *self._scale_record()]
+
     def _released(self, sender: int, key: str) -> None:
         peers = self.holders.get(key, set())
         peers.discard(sender)
@@ -210,33 +238,29 @@
         if peer is not None:
             for key in peer.copy.entries:
                 self._released(sender, key)
-            self.verdicts.forget(sender)
 
     def due(self, now: float) -> Sends:
         """The messages to be sent now."""
         self._began(now)
-        pressing = self.answers or self.askers or (now >= self.sent_at + PACE and (
-            self.table.changed or self.verdicts.new))
+        self._notice(now)
+        pressing = self.answers or (now >= self.sent_at + PACE and (self.table.changed or self.verdicts.new))
         if self.count < 2 or not pressing and now < min(self.ticked + DOUBT, self.beaten + self.beat):
             return []
         out: Sends = []
-        asked = [s for s in range(self.count) if s != self.index] if self.number == 0 else []  # a fresh start
+        if self.number == 0:  # a fresh start
+            for peer in range(self.count):
+                self._answer(peer, [ASKS_ALL] if peer != self.index else [])
         if now >= self.sent_at + PACE:
             records = self._news(now)
-            if records or asked:
+            if records:
                 self.sent_at = now
-                out += [(None, text) for text in self._messages(records)]
+                out += [(None, text) for text in self._messages(records, to_all=True)]
         if now >= self.ticked + DOUBT:
             self.ticked = now
             self._give_up(now)
-            asked += self._doubted(now)
-        for peer in sorted(self.askers):
-            self.answers.setdefault(peer, []).extend([*self.table.whole(), *self._scale_record()])
-        for peer in asked:
-            self.answers.setdefault(peer, []).append(ASKS)
-        out += [(peer, text) for peer, records in sorted(self.answers.items()) if records
+            self._doubt(now)
+        out += [(peer, text) for peer, records in sorted(self.answers.items())
                 for text in self._messages(records)]
-        self.askers.clear()
         self.answers.clear()
         return out
 
@@ -262,19 +286,19 @@
             self._forget(sender)
             self.lost[sender] = now, held
 
-    def _doubted(self, now: float) -> list[int]:
-        found = []
+    def _doubt(self, now: float) -> None:
+        """Ask those whose copy has differed for a while: first for what came behind the last agreement."""
         for sender, peer in self.peers.items():
             if peer.copy.digest != peer.told and not peer.copy.full() and now > max(
                     peer.ask_at, peer.sound + DOUBT):
+                first = peer.ask_at == 0.0 and peer.agreed is not None
+                self._answer(sender, [ASKS + write_figure(peer.agreed or 0, NUMBER) if first else ASKS_ALL])
                 peer.ask_at = now + ASK_AGAIN
-                found.append(sender)
-        return found
 
     def _scale_record(self) -> list[str]:
         return [SCALE + at_most(round(100 * self.scale_told), FIGURE)]
 
-    def _messages(self, records: list[str]) -> Iterable[str]:
+    def _messages(self, records: list[str], to_all: bool = False) -> Iterable[str]:
         """As many messages as the records need, at least one. All have the digest of what holds after the
         last: a copy that lacks a part of them is in doubt, and heals."""
         at = 0
@@ -283,7 +307,10 @@
             while at < len(records) and size + len(records[at]) <= MOST_BYTES:
                 size += len(records[at])
                 at += 1
-            yield write(Message(self.boot, self.number, self.table.digest, tuple(records[begin:at])))
-            self.number = (self.number + 1) % NUMBERS
+            part = records[begin:at]
+            yield write(Message(self.boot, self.number, self.table.digest, tuple(part)))
+            if to_all:
+                self.kept.extend([(self.number, r) for r in part if r[0] in (HOLDS, DROPS, COUNTS)])
+            self.number += 1
             if at == len(records):
                 return
--- a/saltcourse/fleet/shares.py
+++ b/saltcourse/fleet/shares.py
@@ -20,7 +20,7 @@
 from saltcourse.fleet.words import FIGURE, GIVES, WISHES, read_figure, write_figure
 from saltcourse.interface import FleetTerms
 
-BEATS = 3  # wishes and signs of life in a term: two of them may be lost
+BEATS = 4  # wishes and signs of life in a term: two in a row may be lost
 HEIRS = 3  # tokens of a proxy, at most
 WISHES_KEPT = 8  # of the latest; an answer to an older one is worth little
 WISH_NUMBERS = 64**FIGURE
--- a/saltcourse/fleet/verdicts.py
+++ b/saltcourse/fleet/verdicts.py
@@ -59,8 +59,8 @@
 
     def forget(self, sender: int) -> None:
         """Its process is another now, with a clock and verdicts of its own."""
-        self.offsets.pop(sender, None)
         self.ends = {key: end for key, end in self.ends.items() if key[1] != sender}
+        self.offsets.pop(sender, None)
 
 
 def _around(hundredths: float) -> float:
--- a/saltcourse/fleet/words.py
+++ b/saltcourse/fleet/words.py
@@ -9,24 +9,28 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterator
+import re
 from dataclasses import dataclass
 
 MOST_BYTES = 256  # of a datagram; a longer one voids a run
 VERSION = "2"
-DIGITS = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+DIGITS = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_-"  # '-' last: for patterns
 VALUES = {digit: value for value, digit in enumerate(DIGITS)}
 BOOT, NUMBER, DIGEST, NAME, FIGURE, CLOCK = 2, 3, 3, 4, 3, 5  # characters of each
 HEAD = len(VERSION) + BOOT + NUMBER + DIGEST
 CENTI = 0.01  # s; a clock is told in hundredths of a second
 HOLDS, DROPS, COUNTS = "+", "-", "#"  # of the sender's table: pair held, pair not, connections at a server
-VOID, ASKS, SCALE = "!", "?", "="  # what I told before is void; tell me your table; my slots in a load of 1
+VOID, SCALE = "!", "="  # what I told before is void; my slots in a server's load of 1
+ASKS, ASKS_ALL = "?", "*"  # tell me what you told behind this number; tell me your whole table
 WISHES, GIVES = "w", "g"  # give me my token again (its number); you have it, counted from when you wished
 TIME, JUDGES = "c", "v"  # my clock; I leave this server alone until then, by my clock
 SIZES = {  # characters behind the sign
-    HOLDS: 2 * NAME, DROPS: 2 * NAME, COUNTS: NAME + FIGURE, VOID: 0, ASKS: 0, SCALE: FIGURE,
-    WISHES: FIGURE, GIVES: FIGURE, TIME: CLOCK, JUDGES: NAME + CLOCK,
+    HOLDS: 2 * NAME, DROPS: 2 * NAME, COUNTS: NAME + FIGURE, VOID: 0, SCALE: FIGURE, ASKS: NUMBER,
+    ASKS_ALL: 0, WISHES: FIGURE, GIVES: FIGURE, TIME: CLOCK, JUDGES: NAME + CLOCK,
 }
+RECORD = "|".join(f"{re.escape(sign)}[{DIGITS}]{{{size}}}" for sign, size in SIZES.items())
+RECORDS = re.compile(RECORD)
+WHOLE = re.compile(f"[{DIGITS}]{{{HEAD - len(VERSION)}}}(?:{RECORD})*")
 
 
 class BadMessage(Exception):
@@ -46,19 +50,13 @@
 
 def write_figure(value: int, size: int) -> str:
     """The last ``size`` digits: what does not fit begins again at 0."""
-    text = ""
-    for _ in range(size):
-        value, digit = divmod(value, 64)
-        text = DIGITS[digit] + text
-    return text
+    return "".join([DIGITS[value >> shift & 63] for shift in range(6 * size - 6, -1, -6)])
 
 
-def read_figure(text: str) -> int:
+def read_figure(digits: str) -> int:
     value = 0
-    for digit in text:
-        if digit not in VALUES:
-            raise BadMessage("a character that is no digit")
-        value = value * 64 + VALUES[digit]
+    for digit in digits:
+        value = value << 6 | VALUES[digit]
     return value
 
 
@@ -83,18 +81,9 @@
     if not text.startswith(VERSION):
         raise BadMessage("another version")
     at = len(VERSION)
+    if WHOLE.fullmatch(text, at) is None:
+        raise BadMessage("a character that is no digit, an unknown record, or a part of one")
     boot = read_figure(text[at:at + BOOT])
     number = read_figure(text[at + BOOT:at + BOOT + NUMBER])
     digest = read_figure(text[at + BOOT + NUMBER:HEAD])
-    return Message(boot, number, digest, tuple(_records(text[HEAD:])))
-
-
-def _records(text: str) -> Iterator[str]:
-    at = 0
-    while at < len(text):
-        size = SIZES.get(text[at])
-        if size is None or at + 1 + size > len(text):
-            raise BadMessage("an unknown record, or a part of one")
-        read_figure(text[at + 1:at + 1 + size])
-        yield text[at:at + 1 + size]
-        at += 1 + size
+    return Message(boot, number, digest, tuple(RECORDS.findall(text, HEAD)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -39,7 +39,7 @@
 TERMS = lg.FleetTerms(counts=True)
 SILENT = TERMS.term
 RECORDS = st.sampled_from([
-    "+srv1grp1", "-srv1grp1", "#srv1AAB", "!", "?", "=0Ab", "wAAA", "cAAAAA", "vsrv1AAAAB"])
+    "+srv1grp1", "-srv1grp1", "#srv1AAB", "!", "?AAC", "*", "=0Ab", "wAAA", "cAAAAA", "vsrv1AAAAB"])
 
 
 @given(st.text(max_size=300) | st.builds(lambda m, cut: write(m)[:cut], st.builds(
@@ -205,8 +205,8 @@
     class Proud(Fleet):
         """Never asks for what it has missed."""
 
-        def _doubted(self, now: float) -> list[int]:
-            return []
+        def _doubt(self, now: float) -> None:
+            pass
 
     class Hasty(Shares):
         """Inherits a token as soon as it starts, and counts its own from the answer, not from the wish."""
