--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -2,9 +2,9 @@
 
 Fleets of 4, 40 and 200 proxies on the simulated network (1.7 to 28 ms, one message in twenty lost), each with
 as many new connections a second as one proxy of casa-main has (2.75), in 3 groups for each server: bytes that
-a proxy sends a second, CPU to take a message (beside reading it alone, the control of the same run), the share
-of copies behind their owner, and the time until no more are so after half of the fleet was cut off for 15 s.
-The last line is one JSON object.
+a proxy sends a second, CPU to take a message (beside reading it alone, the control of the same run), the
+share of copies behind their owner, and the time until no more are so after half of the fleet was cut off for
+15 s. The last line is one JSON object.
 """
 
 from __future__ import annotations
