--- a/saltcourse/__init__.py
+++ b/saltcourse/__init__.py
@@ -1,6 +1,20 @@
 """saltcourse: the decisions of a load balancer for long-lived connections, and the proxy round them."""
 
-from saltcourse.policy import Balancer
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from saltcourse.policy import Balancer
 
 __version__ = "0.1.0"
 __all__ = ["Balancer", "__version__"]
+
+
+def __getattr__(name: str) -> Any:
+    """The module is imported when it is asked for: the program has signals to hold before that."""
+    if name != "Balancer":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from saltcourse.policy import Balancer
+
+    return Balancer
--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -12,7 +12,7 @@
 import click
 import structlog
 
-from saltcourse import __version__
+from saltcourse import __version__, signals
 from saltcourse.config import Config, ConfigError, load_config
 from saltcourse.net.lifecycle import CannotListen
 from saltcourse.net.lifecycle import serve as serve_forever
@@ -95,6 +95,8 @@
 @click.pass_context
 def main(context: click.Context) -> None:
     """A balancing proxy for long-lived connections."""
+    if context.invoked_subcommand not in (None, serve.name):
+        signals.release()
     if context.invoked_subcommand is None:
         context.invoke(serve, path=None, operator=None)
 
--- a/saltcourse/interface.py
+++ b/saltcourse/interface.py
@@ -72,6 +72,9 @@
     NOT_SENT = "not_sent"
 
 
+TOLD_WITHIN = 6.0  # s after which what discovery has to tell counts as told, where it can be reached
+LIST_PATIENCE = 3.5  # s for a list call's answer: discovery gives up one that waited 3 s for its turn
+LONGEST_LIST_WAIT = TOLD_WITHIN - LIST_PATIENCE - 0.5  # s from a failed list call to the next
 NEVER_RAN = frozenset({Status.FULL, Status.CONNECT_FAILED, Status.NOT_SENT})
 
 
@@ -186,6 +189,16 @@
             _require(_number(value) and value >= 0, name, "0 or more")
         _require(_number(self.start_share) and 0 < self.start_share <= 1, "start_share", "above 0, at most 1")
 
+    @property
+    def slow_message(self) -> float:
+        """s that a message takes at a server of which a delay is noted: a third of the shortest aim."""
+        return min((c.message_aim for c in self.classes if c.message_aim > 0), default=math.inf) / 3
+
+    @property
+    def longest_refusal(self) -> float:
+        """s for which a refused client may be asked to stay away; 0 where no such word is allowed."""
+        return self.max_retry_after if self.retry_after else 0.0
+
 
 # ---- events -------------------------------------------------------------------------------------
 
--- a/saltcourse/net/consumer.py
+++ b/saltcourse/net/consumer.py
@@ -34,6 +34,9 @@
 DISMISS_TIME, DISMISS_BYTES = 0.3, 64 * 1024  # what is read of a client after it was turned away unheard
 TELL_EVERY = 5.0  # s between log lines on bad first lines, for they come in floods
 PART_TIME = 0.5  # s that a side may take to end after the other; a second is allowed
+LEAVE_TIME = 0.25  # s for a client that opened nothing to end its side after ours; in a crowd its
+SHED_TIME = 0.1  # descriptor is wanted sooner
+CROSSING = 0.05  # s more for a line whose bytes have come in the very moment in which its time is up
 MOVE_TIME = 0.5  # s for MOVE to be taken by the client's socket, and again for the client to leave
 OVERDUE = 0.015  # s after its time is up at which an invocation without an answer is failed here
 CALL_ENDS = 0.005  # s before the client's time is up at which a call that still waits is given up
@@ -59,6 +62,7 @@
         self.settings, self.clock, self.figures = settings, clock, figures
         self.tell_decider, self.address_of = tell_decider, address_of
         self.may_answer_ping, self.short, self.doorstep = may_answer_ping, short, doorstep
+        self.answer_by = float("inf")  # when every answer has to be out, for the program ends soon after
         self.classes = frozenset(c.name for c in settings.classes)
         self._open: set[str] = set()  # ids of the invocations that are under way or stand
         self._bad, self._told = 0, -TELL_EVERY
@@ -94,6 +98,10 @@
         self._reader: asyncio.Task[None] | None = None
         self._owed: Place | None = None  # the send that the module has not heard the outcome of
         self._over = False
+        self._rests = False  # it was answered a PING and has said nothing since
+        self._leaving = False  # our side is ended before anything was opened: what still comes is not heard
+        self._leave_at: asyncio.TimerHandle | None = None
+        self._rest_of_line = 0.0  # loop time until which a program that ends waits for the rest of a line
 
     # ---- mailbox --------------------------------------------------------------------------------
 
@@ -107,6 +115,7 @@
     def cleanup(self) -> None:
         self._over = True
         self.peer.close()
+        self._no_longer_leaves()
         if self.call is not None:
             self.call.close()
         self._settle(lg.Status.CANCELLED)
@@ -137,20 +146,21 @@
             self.opened = await self._first_line()
         except BadLine as wrong:
             self.host.bad_line(str(wrong))
-            self.host.doorstep.left(self)
+            self._opens_no_more()
             await dismiss(self.peer, FAIL_LINE, DISMISS_TIME, DISMISS_BYTES)
             return
-        except (PeerReset, TimeoutError):
+        except PeerReset:
             return
         if self.opened is None:
             return
-        self.host.doorstep.left(self)
+        self._opens_no_more()
         if self.host.short():
             self.host.figures.reply(self.opened.klass, "overload")
-            busy = busy_line(self.host.settings.max_retry_after)
+            busy = busy_line(self.host.settings.longest_refusal)
             await dismiss(self.peer, busy, DISMISS_TIME, DISMISS_BYTES)
             return
         wait = min(self.opened.wait, RESUME_TIME) if self.opened.at else self.opened.wait
+        wait = max(0.001, min(wait, self.host.answer_by - self.host.clock.now()))
         self.deadline = self.host.clock.now() + wait
         self.stage = Stage.WAITING
         self._reader = spawn(self._read_client(), "consumer's reader")
@@ -160,7 +170,7 @@
             if self.opened.at:
                 self._resume(self.opened)
             else:
-                self.host.tell_decider(Arrived(self, self._event(self.opened)))
+                self.host.tell_decider(Arrived(self, self._event(self.opened, wait)))
             while self.stage is not Stage.ENDED:
                 await self._take(await self.mailbox.get())
         finally:
@@ -169,15 +179,20 @@
 
     async def _first_line(self) -> OpenLine | None:
         """The OPEN line; the front's PINGs before it are answered. None when the client has left."""
-        while (line := await self._line_in_time()) is not None and word_of(line) == PING:
+        self._leave_in(FIRST_LINE_TIME)
+        while (line := await self._next_line()) is not None and word_of(line) == PING:
             if not self.host.may_answer_ping():
-                return None
+                self.leave()
+                continue
             await self.peer.write(PONG_LINE)
             self.host.doorstep.came(self)
             if not self.peer.buffer.pending:
-                async with asyncio.timeout(PING_TIME):
-                    if not await self.peer.fill():
-                        return None
+                self._rests = True
+                self._leave_in(PING_TIME)
+                if not await self.peer.fill():
+                    return None
+                self._rests = False
+            self._leave_in(FIRST_LINE_TIME)
         if line is None:
             return None
         opened = read_open(line)
@@ -191,22 +206,75 @@
         self.request = opened.request
         return opened
 
-    async def _line_in_time(self) -> memoryview | None:
-        """The time counts for the whole line: one that trickles in holds its place no longer than silence."""
-        async with asyncio.timeout(FIRST_LINE_TIME):
-            while (line := self.peer.buffer.line()) is None:
-                if not await self.peer.fill():
-                    return None
+    async def _next_line(self) -> memoryview | None:
+        """None when the client has ended; once we leave, what it says is thrown away."""
+        while (line := None if self._leaving else self.peer.buffer.line()) is None:
+            if self._leaving:
+                self.peer.buffer.rest()
+            if not await self.peer.fill():
+                return None
         return line
 
+    # ---- the end of a client that has opened nothing ----------------------------------------------
+
+    def leave(self, linger: float = LEAVE_TIME) -> None:
+        """End our side and read on to the client's end for a while, so that a request which crosses ours is
+        met by an end and not by a reset. It is not served: its answer could not be told any more.
+
+        This is no cancelling of the coroutine that reads: that could take read bytes with it.
+        """
+        if self.stage is not Stage.OPENING or self._leaving:
+            return
+        self._leaving = True
+        self.host.doorstep.leaves(self)
+        self.peer.finish()
+        self._leave_at = asyncio.get_running_loop().call_later(linger, self.peer.close)
+
+    def _leave_in(self, seconds: float) -> None:
+        """The time counts for a whole line: one that trickles in holds its place no longer than silence."""
+        if not self._leaving:
+            self._no_longer_leaves()
+            self._leave_at = asyncio.get_running_loop().call_later(seconds, self._time_is_up)
+
+    def _time_is_up(self, again: bool = True) -> None:
+        """Bytes that have come before our end are read first: they may be the rest of a request."""
+        loop = asyncio.get_running_loop()
+        if again and self.peer.has_unread():
+            self._leave_at = loop.call_later(CROSSING, self._time_is_up, False)
+        elif self.peer.buffer.pending and loop.time() < self._rest_of_line:
+            self._leave_at = loop.call_at(self._rest_of_line, self._time_is_up)
+        else:
+            self.leave()
+
+    def _no_longer_leaves(self) -> None:
+        if self._leave_at is not None:
+            self._leave_at.cancel()
+            self._leave_at = None
+
+    def _opens_no_more(self) -> None:
+        self.stage = Stage.ENDED
+        self._no_longer_leaves()
+        self.host.doorstep.left(self)
+
     def shed(self) -> None:
         """Others need its place and it has said nothing; its own coroutine sees the end."""
+        self.leave(SHED_TIME)
+
+    def drop(self) -> None:
+        """Its own coroutine sees the end."""
         self.peer.close()
 
+    def retire(self, quiet: float, last: float) -> None:
+        """The program leaves and takes no new clients: this one, if it has opened nothing, goes at once where
+        it rests after a PING, after ``quiet`` s where it is silent, after ``last`` s with half a line."""
+        if self.stage is Stage.OPENING:
+            self._rest_of_line = asyncio.get_running_loop().time() + last
+            self._leave_in(0.0 if self._rests else quiet)
+
     @staticmethod
-    def _event(opened: OpenLine) -> lg.NewRequest:
+    def _event(opened: OpenLine, patience: float) -> lg.NewRequest:
         return lg.NewRequest(
-            opened.request, opened.klass, opened.wait, opened.tenant, opened.load_hint, opened.key,
+            opened.request, opened.klass, patience, opened.tenant, opened.load_hint, opened.key,
             opened.group, opened.repeat, False, opened.came_back)
 
     async def _read_client(self) -> None:
@@ -273,6 +341,10 @@
         if self.stage is not Stage.WAITING or self._owed is not None or self.opened is None:
             self._never_sent(place)
             return
+        if self.peer.has_ended():  # the reader has not come to it yet, and this message stood before its word
+            self._never_sent(place)
+            self.tell(ClientEnded(reset=False))
+            return
         # The call's time is up before the module's own timer for the deadline: the module must know that
         # nothing is out any more to be able to refuse, which tells the client that it may come again.
         left = self.deadline - CALL_ENDS - self.host.clock.now()
@@ -284,6 +356,9 @@
             self._line_passed)
         self.call.start()
 
+    def wanted(self) -> bool:
+        return self.stage is Stage.WAITING and not self.peer.has_ended()
+
     def dispatched(self) -> None:
         self.host.figures.dispatched()
 
@@ -324,6 +399,9 @@
         elif self.stage is Stage.WAITING:
             if self.opened is not None and self.opened.at:
                 await self._resume_failed(status)
+            elif self.peer.has_ended():  # no further attempt is even asked for
+                self.stage = Stage.ENDED
+                self._settle(status)
             else:
                 self._settle(status, final=False)
 
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -54,8 +54,7 @@
         self._known, self._ask, self._seed, self._say = known, ask_directory, seed, say
         self._sends: dict[str, tuple[int, str]] = {}  # request -> number and server of its last attempt
         self._arrived: dict[str, lg.NewRequest] = {}
-        aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
-        self._meter = DelayMeter(min(aims) / 3 if aims and tells_delay else float("inf"))
+        self._meter = DelayMeter(settings.slow_message if tells_delay else float("inf"))
         self._noted = 0.0
         self._looked = clock.now()
         # Since the last sum: (provider, status) of each outcome, and ("", action) of each answer and move.
--- a/saltcourse/net/directory.py
+++ b/saltcourse/net/directory.py
@@ -18,9 +18,10 @@
 from saltcourse.wire.members import Address, BadList, Listing, parse_list
 
 PATH = "/catalog/members"
-WATCH_TIME = 4.0  # s that one call of a watch may wait for news: a watch can fall silent with news held back,
-WATCH_SLACK = 1.5  # and is given up this much later; what has changed counts as told 6 s after it did
-CALL_TIME = 3.5  # s beyond that for an answer: discovery gives up a call that has waited 3 s for its turn
+# A watch can fall silent with news held back, as soon as it is begun. What it misses counts as told
+# TOLD_WITHIN later: until then it has to be given up, and the call in its place has to have had its turn.
+WATCH_SLACK = 0.6  # s after its wait at which a watch without an answer is taken for silent
+WATCH_TIME = lg.TOLD_WITHIN - WATCH_SLACK - lg.LIST_PATIENCE / 2  # s that a call may wait for news
 SOON = 0.1  # s; a watch goes on when the next call comes within 0.2 s of an answer
 FIRST_CALL_TIME = 1.2  # s for the first answer at a new address, doubling: the list is owed within 4 s
 CALL_AGAIN = 0.2  # s between calls at a new address while none has been answered
@@ -29,6 +30,14 @@
 log = structlog.get_logger("saltcourse")
 
 
+class Refused(Exception):
+    """A call failed: discovery could not be reached, turned it away, or told what is no list."""
+
+
+class Silent(Exception):
+    """Discovery took a call and has said nothing in time."""
+
+
 @dataclass(slots=True)
 class Relocate:
     """Discovery is at another address from now on."""
@@ -75,53 +84,76 @@
 
     async def _settle(self) -> None:
         """At a new address nothing is known of its versions, so the whole list comes first."""
+        self._version = 0
         patience = FIRST_CALL_TIME
-        while (listing := await self._call(PATH, 0.0, min(patience, CALL_TIME))) is None:
-            patience *= 2
-            await asyncio.sleep(CALL_AGAIN)
-        self._tell(listing)
+        while True:
+            try:
+                self._tell(await self._call(PATH, 0.0, min(patience, lg.LIST_PATIENCE)), 0)
+                break
+            except (Refused, Silent):
+                patience *= 2
+                await asyncio.sleep(CALL_AGAIN)
         await self._watch()
 
     async def _fetch(self) -> None:
-        listing = await self._call(PATH, 0.0)
-        if listing is None:
+        held = self._version
+        try:
+            self._tell(await self._call(PATH, 0.0), held)
+        except (Refused, Silent):
             self._told(Listed(lg.ListKind.UNAVAILABLE))
-        else:
-            self._tell(listing)
 
     async def _watch(self) -> None:
-        """Each call follows the last answer at once; the first failure ends the watch, and the module
-        says when to begin another."""
+        """Each call follows the last answer at once. A call that falls silent is no refusal: the whole list
+        is asked for at once. The first failure ends the watch; the module says when to begin another."""
         loop = asyncio.get_running_loop()
+        silent = False
         while True:
-            begun = loop.time()
-            target = f"{PATH}?after={self._version}&wait_ms={round(WATCH_TIME * 1000)}"
-            listing = await self._call(target, WATCH_TIME, WATCH_SLACK)
-            if listing is None:
+            begun, held = loop.time(), self._version
+            target = f"{PATH}?after={held}&wait_ms={round(WATCH_TIME * 1000)}"
+            try:
+                if silent:
+                    listing = await self._call(PATH, 0.0)
+                else:
+                    listing = await self._call(target, WATCH_TIME, WATCH_SLACK)
+            except Silent:
+                silent = True
+                continue
+            except Refused:
                 break
-            self._tell(listing)
-            if not listing.members and loop.time() - begun < SOON:
+            self._tell(listing, held)
+            if not silent and not listing.members and loop.time() - begun < SOON:
                 await asyncio.sleep(SOON)  # a service that does not wait must not be called in a spin
+            silent = False
         self._watching = False
         self._told(Listed(lg.ListKind.UNAVAILABLE))
 
-    def _tell(self, listing: Listing) -> None:
-        """A list older than the one that is held (calls may cross) has nothing to tell."""
-        if listing.version < self._version and not listing.full:
+    def _tell(self, listing: Listing, held: int) -> None:
+        """``held`` is the version that was held when the call was made.
+
+        An answer under the version held now, but not under that one, is late: another call's answer crossed
+        it, and it must not undo what that told. One under both is of a discovery that began anew, and counts;
+        if it tells changes only, there is a whole list behind it that has to be asked for."""
+        if held <= listing.version < self._version:
+            return
+        began_anew = listing.version < held
+        self._version = 0 if began_anew and not listing.full else listing.version
+        if began_anew and not listing.full:
             return
-        self._version = listing.version
         self._told(Listed(lg.ListKind.WHOLE if listing.full else lg.ListKind.CHANGED, listing))
 
-    async def _call(self, target: str, wait: float, patience: float = CALL_TIME) -> Listing | None:
+    async def _call(self, target: str, wait: float, patience: float = lg.LIST_PATIENCE) -> Listing:
         try:
             async with asyncio.timeout(wait + patience):
                 answer = await self._get(target)
             if answer.status != 200:
                 raise BadList(f"status {answer.status}")
             return parse_list(answer.body)
-        except (OSError, NoSocket, TimeoutError, http.BadAnswer, BadList) as wrong:
+        except TimeoutError:
+            log.info("list call fell silent", seconds=wait + patience)
+            raise Silent from None
+        except (OSError, NoSocket, http.BadAnswer, BadList) as wrong:
             log.info("list call failed", reason=str(wrong) or type(wrong).__name__)
-            return None
+            raise Refused from None
 
     async def _get(self, target: str) -> http.Answer:
         host, port = self._address
--- a/saltcourse/net/invoker.py
+++ b/saltcourse/net/invoker.py
@@ -13,7 +13,7 @@
 from saltcourse.net.clock import Clock
 from saltcourse.net.messages import CallEnded, CallUp, ToInvocation
 from saltcourse.net.stream import Peer, PeerReset
-from saltcourse.wire.lines import NO, PING, PONG, STATS, BadLine, report_of, word_of
+from saltcourse.wire.lines import NO, PING, PONG, STATS, BadLine, load_of, report_of, word_of
 from saltcourse.wire.members import Address
 
 PROBE_TIME = 0.3  # s for a probe and its answer
@@ -26,6 +26,10 @@
     """This process has no descriptor left for another socket."""
 
 
+class NotWanted(Exception):
+    """Nobody waits for the answer any more: the line must not be sent."""
+
+
 def open_socket(address: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     try:
@@ -43,6 +47,9 @@
 
     async def deliver(self, line: memoryview) -> None: ...
 
+    def wanted(self) -> bool:
+        """An answer is still waited for: an attempt may begin."""
+
     def dispatched(self) -> None:
         """The attempt's first line has been written whole."""
 
@@ -69,7 +76,7 @@
     async def run(self) -> None:
         status, reset = await self._attempt()
         if self._given_up:
-            status = lg.Status.CANCELLED
+            status = lg.Status.CANCELLED if self._ran() else lg.Status.NOT_SENT
         self.owner.tell(CallEnded(self, status, reset))
 
     def cleanup(self) -> None:
@@ -82,29 +89,33 @@
         if self.peer is not None:
             self.peer.close()
 
+    def _ran(self) -> bool:
+        """It may have run: the kernel has taken the line's last byte. Which coroutine heard of that first
+        tells nothing: a time-out or a reset may cross the end of a write that went in parts."""
+        return self.peer is not None and self.peer.sent >= len(self._line)
+
     async def _attempt(self) -> tuple[lg.Status, bool]:
+        if self._given_up or not self.owner.wanted():  # before this coroutine had its first turn
+            return lg.Status.NOT_SENT, False
         if self._address is None:
             return lg.Status.CONNECT_FAILED, False
         try:
             self.peer = Peer(open_socket(self._address))
         except NoSocket:
             return lg.Status.NOT_SENT, False
-        written = False
         try:
-            async with asyncio.timeout(self._timeout):
-                async with asyncio.timeout(self._connect_timeout):
-                    await self.peer.connect(self._address)
-                await self.peer.write(self._line)
-                written = True
-                self.owner.dispatched()
-                line = await self._next_line()
+            line = await self._ask(self.peer, self._address)
         except TimeoutError:
-            # The line cannot have run unless its last byte was written.
-            return (lg.Status.TIMEOUT if written else lg.Status.CONNECT_FAILED), False
+            return (lg.Status.TIMEOUT if self._ran() else lg.Status.CONNECT_FAILED), False
         except PeerReset:
-            return (lg.Status.RESET if written else lg.Status.CONNECT_FAILED), True
+            return (lg.Status.RESET if self._ran() else lg.Status.CONNECT_FAILED), True
         except BadLine:
             return lg.Status.ERROR, False
+        except NotWanted:
+            return lg.Status.NOT_SENT, False
+        finally:
+            if self._ran():
+                self.owner.dispatched()
         if line is None:
             return lg.Status.RESET, False
         if word_of(line) != b"UP":
@@ -113,6 +124,21 @@
         await self.stood.wait()
         return await self._pump()
 
+    async def _ask(self, peer: Peer, address: Address) -> memoryview | None:
+        """Send the line; the first line that comes back, None where the provider ends without one."""
+        async with asyncio.timeout(self._timeout):
+            async with asyncio.timeout(self._connect_timeout):
+                await peer.connect(address)
+            if not self.owner.wanted():  # a connection may come up long after it was asked for
+                raise NotWanted
+            await peer.write(self._line)
+            while (line := await self._next_line()) is not None:
+                load = load_of(line)
+                if load is None:
+                    break
+                self._on_line(line)  # a provider that tells the load before it has answered
+            return line
+
     async def _next_line(self) -> memoryview | None:
         assert self.peer is not None
         while (line := self.peer.buffer.line()) is None:
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -15,6 +15,7 @@
 
 import structlog
 
+from saltcourse import signals
 from saltcourse.config import NEED_RESTART, Config, ConfigError
 from saltcourse.figures import Figures
 from saltcourse.net.clock import Clock
@@ -23,7 +24,7 @@
 from saltcourse.net.directory import Directory, Relocate
 from saltcourse.net.doorstep import Doorstep
 from saltcourse.net.invoker import SHORT
-from saltcourse.net.messages import MoveAll
+from saltcourse.net.messages import Forfeit, MoveAll
 from saltcourse.net.stream import Peer, listening
 
 if TYPE_CHECKING:  # nothing of it is imported without an admin address
@@ -33,7 +34,9 @@
 BACKLOG = 1024  # connections that wait to be taken: most clients may come back in the same second
 TAKEN_AT_ONCE = 32  # before other work has its turn
 STILL_TAKING = 0.5  # s after SIGTERM for which the front may go on sending clients
-MOST_DEADLINE, KILL_MARGIN = 3.0, 0.35  # s; SIGKILL comes 0.7 s after the longest deadline, 3 s at most
+MOST_DEADLINE, KILL_MARGIN = 3.0, 0.45  # s; SIGKILL comes 0.7 s after the longest deadline, 3 s at most
+LAST_ANSWER = 0.25  # s between the last final answers and the end: they have to be read by then
+QUIET = 0.25  # s in which a client that has just connected says what it wants
 EMPTIED_BY = 4.0  # s after lameduck/on by which the operators want every client moved
 LAST_MOVE = 0.5  # s between the last MOVE and the end: clients leave at once, the looks may be late
 OWN_SOCKETS = 24  # descriptors for the list, the loop, probes and what the interpreter holds
@@ -101,12 +104,12 @@
 
     async def run(self) -> None:
         """Serve until told to leave; returns when every connection has ended or time is up."""
+        # Not by the loop's own handlers: those go with the loop, and a signal in the program's last moments
+        # would then end it as one that was never handled. What came before this moment has been held.
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.leave.set)
-        # Not by the loop's own handlers: those go with the loop, and a SIGHUP in the program's last moments
-        # would then end it as one that was never handled.
-        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
+            signals.handle(number, lambda: loop.call_soon_threadsafe(self.leave.set))
+        signals.handle(signal.SIGHUP, lambda: loop.call_soon_threadsafe(self.reload))
         if self.peers is not None and self.config.peers is not None:
             try:
                 await self.peers.open()
@@ -130,7 +133,7 @@
         if self._beside is not None:
             await self._beside.leave()
         await self._drain()
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signals.ignore()
         self._enter(Phase.STOPPED)
         if self.admin is not None:
             self.admin.stop()
@@ -202,6 +205,8 @@
         deadlines = [c.deadline for c in self.config.settings.classes]
         longest = min(MOST_DEADLINE, max(deadlines, default=MOST_DEADLINE))
         last = loop.time() + longest + KILL_MARGIN
+        self.host.answer_by = self.clock.now() + longest + KILL_MARGIN - LAST_ANSWER
+        loop.call_at(last - LAST_ANSWER, self._answer_all)
         if self._lameduck is not None:
             self._lameduck.cancel()
         inherited, emptied = self.config.listen_fd is not None, self.phase is Phase.LAMEDUCK
@@ -214,10 +219,17 @@
         self._stop_listening(take_first=not inherited)
         # Spread, for whoever takes the moved clients over sets them up anew; all by LAST_MOVE before the end.
         self.decider.tell(MoveAll(True, loop.time(), last - LAST_MOVE))
+        for consumer in self.consumers:
+            consumer.retire(QUIET, last - LAST_ANSWER - loop.time())
         while self.consumers and loop.time() < last:
             tasks = [c.task for c in self.consumers if c.task is not None]
             await asyncio.wait(tasks, timeout=max(0.0, last - loop.time()))
 
+    def _answer_all(self) -> None:
+        """No answer may be owed when the program ends. Those that came late were given less time for this."""
+        for consumer in self.consumers:
+            consumer.tell(Forfeit("the program ends"))
+
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         log.info("phase", phase=phase.value, consumers=len(self.consumers))
--- a/saltcourse/net/stream.py
+++ b/saltcourse/net/stream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 
 WRITE_LIMIT = 64 * 1024  # bytes waiting for one peer; writers await each write, so little gathers
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ENDED = getattr(select, "POLLRDHUP", 0x2000) | select.POLLHUP | select.POLLERR
 
 
 def listening(address: Address, backlog: int, take: Callable[[], None]) -> socket.socket:
@@ -79,6 +81,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # lines are small and wanted at once
         self.buffer = LineBuffer()
         self._closed = False
+        self._sent = 0  # by the streams before this one
         self._stream = self._wrap(sock)
         Peer.held += 1
 
@@ -91,6 +94,29 @@
     def closed(self) -> bool:
         return self._closed
 
+    @property
+    def sent(self) -> int:
+        """Bytes that the kernel has taken: whoever waits in ``write`` may be told so later, or never."""
+        return self._sent + self._stream.sent
+
+    def _poll(self, events: int) -> int:
+        sock = self._socket()
+        if sock is None:
+            return select.POLLERR
+        poll = select.poll()
+        poll.register(sock, events)
+        found = poll.poll(0)
+        return found[0][1] if found else 0
+
+    def has_ended(self) -> bool:
+        """The peer has ended its side or broken off, also where that waits unread behind bytes. Asked of the
+        kernel: the coroutine that reads may only hear of it after much else that this program has to do."""
+        return self._closed or self._stream.ended or bool(self._poll(ENDED) & ENDED)
+
+    def has_unread(self) -> bool:
+        """Bytes, or an end, have come that nobody has read yet."""
+        return not self._closed and bool(self._poll(select.POLLIN) & select.POLLIN)
+
     async def connect(self, address: tuple[str, int]) -> None:
         try:
             await self._stream.connect(address)
@@ -129,6 +155,7 @@
     def _writer(self) -> _HalfStream:
         if self._stream.kept is not None:
             sock, self._stream.kept = self._stream.kept, None
+            self._sent += self._stream.sent
             self._stream = self._wrap(sock)
         return self._stream
 
@@ -175,15 +202,18 @@
 async def dismiss(peer: Peer, line: bytes, seconds: float, most: int) -> None:
     """Tell a peer that is not served why, and close on it soon, whatever it goes on sending.
 
-    A little of that is discarded first, so that the reset which answers the rest comes after the line.
+    A little of that is discarded first. Of a flood the rest is left unread until the time is up: a close
+    over it is a reset, which must not come before the peer has had the time to read the line.
     """
     with contextlib.suppress(PeerReset, TimeoutError):
         async with asyncio.timeout(seconds):
             await peer.write(line)
             peer.finish()
             peer.buffer.rest()
-            while most > 0 and await peer.fill():
+            while await peer.fill():
                 most -= len(peer.buffer.rest())
+                if most <= 0:
+                    await asyncio.sleep(seconds)
     peer.close()
 
 
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -1,11 +1,10 @@
 """Every decision of saltcourse. Its types, events and actions are in ``saltcourse/interface.py``.
 
-The rule, from "Insensitive Load Balancing" (Bonald, Jonckheere, Proutière 2004): a node keeps a
-slot ceiling and an occupancy for each server and sends a new connection to a ready server with
-probability its free room (ceiling minus occupancy) over the room of all. With no room left it
-overflows by one slot to clean servers, and only then refuses. One slot is the mean load of a connection;
-a group costs each server that holds any of it some more, and is kept together while that server is not
-much fuller than others. What else is here learns the ceilings or says which servers are ready.
+The rule, from "Insensitive Load Balancing" (Bonald, Jonckheere, Proutière 2004): a node keeps a slot ceiling
+and an occupancy for each server and sends a new connection to a ready server with probability its free room
+(ceiling minus occupancy) over the room of all. With no room left it overflows by one slot to clean servers,
+and only then refuses. One slot is the mean load of a connection; a group costs each server that holds any of
+it some more, and is kept together while that server is not much fuller than others.
 """
 
 from __future__ import annotations
@@ -17,10 +16,10 @@
 
 from saltcourse.fleet.core import Fleet
 from saltcourse.interface import (
-    NEVER_RAN, Action, ClientGone, ConnectionResumed, DelayNote, Discovery, Effect, Established, Event,
-    Fail, FetchList, ListKind, LoadNote, Member, MembersChanged, Move, NewRequest, Outcome, PeerMessage,
-    Probe, ProbeResult, Refuse, RequestClass, Scope, Send, ServerState, SetTimer, Settings, Status,
-    TellPeers, TimerFired, Watch,
+    LONGEST_LIST_WAIT, NEVER_RAN, Action, ClientGone, ConnectionResumed, DelayNote, Discovery, Effect,
+    Established, Event, Fail, FetchList, ListKind, LoadNote, Member, MembersChanged, Move, NewRequest,
+    Outcome, PeerMessage, Probe, ProbeResult, Refuse, RequestClass, Scope, Send, ServerState, SetTimer,
+    Settings, Status, TellPeers, TimerFired, Watch,
 )
 
 TICK = 1.0  # s between refreshes of ceilings and health; short against a connection's life
@@ -68,6 +67,7 @@
 HALF, FRESH = TARGET / 2, 0.5  # s for which a report of HALF or more saves another probe
 LOOKS = 3  # servers asked for their load before a placement, one after another, where probes tell it
 REPORT_STALE = 5.0  # s after which a report says no more than the mean, and is renewed; after TICK if full
+LIST_SPREAD = 0.3  # s over which nodes that were refused the list together ask for it again
 WATCH_AGAIN = 0.5  # s from a list that was fetched to the next watch
 SCAN_AGAIN = 0.1  # s for which a scan that found no room anywhere holds
 LOOK_WAIT = 0.05  # s that a placement waits for these answers
@@ -163,7 +163,7 @@
         self.requests: dict[str, Request] = {}
         self.timers: dict[int, Request] = {}
         self.next_token = LIST_TOKEN  # the last one given out
-        self.list_failures, self.polled = 0, False  # polled: the last call was for the whole list, once
+        self.list_failures, self.polled, self.list_asked = 0, False, -1e9  # polled: the whole list, once
         self.usual_setup = 0.0  # s that a set-up takes, over all servers; 0 until one has been timed
         self.mean_load, self.told_loads = 0.0, 0  # load of one slot, 0 until told one; loads that it means
         self.strikes: dict[str, int] = {}  # silent failures in a row in each zone
@@ -175,8 +175,6 @@
         self.per_load, self.mean_report = 0.0, 0.5  # slots for a server's whole load
         self.look = settings.reports_load and settings.may_probe
         self.peers = Fleet(settings, seed, self.servers)
-        aims = [c.message_aim for c in settings.classes if c.message_aim > 0]
-        self.slow_message = min(aims) / 3 if aims else float("inf")
         self.handlers = {
             MembersChanged: self._on_members, NewRequest: self._on_request,
             ConnectionResumed: self._on_resumed, Established: self._on_established,
@@ -197,10 +195,11 @@
     def _on_members(self, event: MembersChanged) -> None:
         if not self.started:
             self._start()
-        if event.kind is ListKind.UNAVAILABLE:  # asked for again, later each time, within what is allowed
+        if event.kind is ListKind.UNAVAILABLE:  # asked again, later each time: wait and call within the term
             self.list_failures += 1
-            longest = min(self.settings.ask_within, 2.0 ** self.list_failures * 0.5)
-            self.out.append(SetTimer(longest * (0.5 + self.random.random() / 2), LIST_TOKEN))
+            longest = min(self.settings.ask_within, LONGEST_LIST_WAIT, 2.0 ** self.list_failures * 0.5)
+            wait = max(LIST_SPREAD, longest - (self.now - self.list_asked))  # less what the failed call took
+            self.out.append(SetTimer(wait * (0.5 + self.random.random() / 2), LIST_TOKEN))
             return
         if event.kind is not ListKind.RESTORED:
             self.list_failures = 0
@@ -252,8 +251,8 @@
     def _cold_gap(self, server: Server) -> float:
         """Seconds between this node's slots to a cold server, so that all nodes fill it over its warm-up."""
         level = self.level if server.near == 1.0 else self.far_level
-        slots = max(0.25, server.size * (level - FEW_SLOTS + 0.5)) * self.peers.pace(self.now)
-        return self.settings.warm_up / slots
+        fleet = max(0.5, server.size * ((level - FEW_SLOTS) * self.settings.balancers + 1))  # 1 to find it
+        return self.settings.warm_up * self.settings.balancers / (fleet * self.peers.pace(self.now))
 
     # ---- health ---------------------------------------------------------------------------------
 
@@ -302,20 +301,20 @@
         request = self.requests.get(event.request)
         if request is None or request.server is None:
             return
-        server, failing = request.server, event.delay > SHED_ANYWAY * self.slow_message
-        server.fails = server.fails + 1 if failing else 0
+        server, slowness = request.server, event.delay / self.settings.slow_message
+        server.fails = server.fails + 1 if (failing := slowness > SHED_ANYWAY) else 0
         if self.look and failing:  # a reported load says it better, but not that work is piled up
             self._ask(server, FRESH)
             if event.delay < HUNG or server.fails > 1:  # so long at once is a stall: work piles up slowly
                 self._strained(server, dropped=True)
                 self._shed(server, SHED_LESS)
-        elif event.delay > self.slow_message and not self.look:
+        elif slowness > 1 and not self.look:
             self._strained(server, failing)
             if event.delay >= HUNG:
                 self._move(list(server.held.values()))
-            elif failing or (event.delay > SHED_SLOWNESS * self.slow_message and self.largest_room > 0):
+            elif failing or (slowness > SHED_SLOWNESS and self.largest_room > 0):
                 self._shed(server, SHED_SHARE)
-        elif event.delay <= self.slow_message and server.unclean_until <= self.now:
+        elif slowness <= 1 and server.unclean_until <= self.now:
             server.slow_until = self.now
 
     def _set_up(self, server: Server, took: float) -> None:
@@ -627,8 +626,7 @@
         harmless = effect is Effect.SAFE or ran is None or (
             effect is Effect.KEYED and request.klass.scope is Scope.ALL)
         if harmless and not request.out:
-            wait = self.settings.max_retry_after if self.settings.retry_after else 0.0
-            self.out.append(Refuse(request.id, wait * (0.5 + self.random.random() / 2)))
+            self.out.append(Refuse(request.id, self.settings.longest_refusal * self.random.uniform(0.5, 1)))
         else:
             self.out.append(Fail(request.id))
         request.answered = True
@@ -752,6 +750,7 @@
                 self._gather()
             self.out.append(SetTimer(tick, TICK_TOKEN))
         elif event.token == LIST_TOKEN:
+            self.list_asked = self.now
             self.polled = self.list_failures % 2 == 1  # a watch that failed: the whole list may still be had
             self.out.append(FetchList() if self.polled else Watch())
         else:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,661 @@
+"""Two events that meet, on real sockets: one is held back until the other is in place.
+
+docs/design/crossings.md has the table of states and events that these tests go through.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from saltcourse import interface as lg
+from saltcourse.net import consumer, directory, lifecycle
+from saltcourse.net.clock import Clock
+from saltcourse.net.consumer import Consumer, Stage
+from saltcourse.net.directory import Directory
+from saltcourse.net.invoker import InvokerCall
+from saltcourse.net.lifecycle import Phase
+from saltcourse.net.messages import Arrived, Listed, Place
+from saltcourse.net.stream import Peer, _HalfStream
+from tests.node import QUICK, Node, members
+from tests.player import End, listening
+from tests.stand import Stand, has_left, nobody_came, turns, until
+from tests.test_admin import free_port, values
+
+OPEN = "OPEN a b c=quick,d={}"
+TERM, TURN = 6.0, 3.0  # s within which news counts as told; that a call waits for its turn at the longest
+SHORT = lg.RequestClass("quick", aim=0.1, deadline=0.3, message_aim=0.06)
+
+
+@pytest.fixture(autouse=True)
+def no_wait_for_the_front(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(lifecycle, "STILL_TAKING", 0.0)
+
+
+def hold_reader(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """What a client does after its first line is heard of by nobody until the gate opens."""
+    gate, read = asyncio.Event(), Consumer._read_client
+
+    async def held(self: Consumer) -> None:
+        await gate.wait()
+        await read(self)
+
+    monkeypatch.setattr(Consumer, "_read_client", held)
+    return gate
+
+
+# ---- attempts and clients that have gone ------------------------------------------------------------
+
+
+class Owner:
+    def __init__(self) -> None:
+        self.told: list[Any] = []
+        self.sent = 0
+
+    def tell(self, message: Any) -> None:
+        self.told.append(message)
+
+    async def deliver(self, line: memoryview) -> None:
+        raise AssertionError("no line was to follow")
+
+    def wanted(self) -> bool:
+        return True
+
+    def dispatched(self) -> None:
+        self.sent += 1
+
+
+def call_to(door: socket.socket, owner: Owner, seconds: float) -> InvokerCall:
+    line = b"OPEN a b c=quick,d=900\r\n"
+    return InvokerCall(owner, Clock(), 0, "s0", door.getsockname(), line, seconds, 1.0, lambda line: None)
+
+
+def test_a_call_given_up_before_its_first_turn_neither_connects_nor_writes() -> None:
+    async def play() -> None:
+        door, owner = listening(), Owner()
+        call = call_to(door, owner, 1.0)
+        call.start()
+        call.close()
+        assert call.task is not None
+        await call.task
+        assert nobody_came(door)
+        assert [message.status for message in owner.told] == [lg.Status.NOT_SENT] and not owner.sent
+        door.close()
+
+    asyncio.run(play())
+
+
+def cut_in_parts(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
+    """The first OPEN line goes in two parts. Between them the loop stands still for so long that the call's
+    time is up in the very turn in which the kernel takes the rest."""
+    write, calls = _HalfStream.write_to_fd, []
+
+    def in_parts(self: _HalfStream, data: memoryview) -> int:
+        if bytes(data[:4]) != b"OPEN" and not calls or len(calls) > 1:
+            return write(self, data)
+        calls.append(self)
+        if len(calls) == 1:
+            return write(self, data[:10])
+        time.sleep(seconds)
+        return 0
+
+    monkeypatch.setattr(_HalfStream, "write_to_fd", in_parts)
+
+
+def test_time_up_as_the_last_byte_is_taken_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        door, owner = listening(), Owner()
+        cut_in_parts(monkeypatch, 0.25)
+        call = call_to(door, owner, 0.2)
+        call.start()
+        assert call.task is not None
+        await call.task
+        taken = door.accept()[0]
+        assert taken.recv(4096) == b"OPEN a b c=quick,d=900\r\n"
+        assert [message.status for message in owner.told] == [lg.Status.TIMEOUT] and owner.sent == 1
+        taken.close()
+        door.close()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(("effect", "scope", "window", "again"), [
+    (lg.Effect.SAFE, lg.Scope.ALL, 0.0, True),
+    (lg.Effect.KEYED, lg.Scope.ALL, 60.0, True),
+    (lg.Effect.KEYED, lg.Scope.ALL, 0.1, False),
+    (lg.Effect.KEYED, lg.Scope.ZONE, 60.0, True),
+    (lg.Effect.KEYED, lg.Scope.ZONE, 0.1, False),
+    (lg.Effect.KEYED, lg.Scope.CELL, 60.0, False),
+    (lg.Effect.UNSAFE, lg.Scope.ALL, 60.0, False),
+])
+def test_what_may_have_run_is_sent_again_only_where_that_is_harmless(
+        monkeypatch: pytest.MonkeyPatch, effect: lg.Effect, scope: lg.Scope, window: float,
+        again: bool) -> None:
+    klass = replace(QUICK, effect=effect, scope=scope, window=window, aim=0.2, deadline=0.6)
+    seconds = 0.65 if effect is lg.Effect.UNSAFE else 0.25  # its attempt has all the time that there is
+
+    async def play() -> None:
+        async with Stand(2, klass, connect_timeout=0.1) as stand:
+            cut_in_parts(monkeypatch, seconds)
+            client = await stand.client(OPEN.format(600))
+            first, provider = await stand.any_taken()
+            assert (await provider.line()).startswith("OPEN a b")
+            if again:
+                assert (await (await stand.taken(1 - first)).line()).startswith("OPEN a b")
+            else:
+                assert await client.line() in ("ERR", "BUSY")
+                assert nobody_came(stand.doors[1 - first]) and nobody_came(stand.doors[first])
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("before_its_end", [b"", b"more than one line"])
+def test_a_client_that_left_while_its_request_was_decided_is_not_sent_on(
+        monkeypatch: pytest.MonkeyPatch, before_its_end: bytes) -> None:
+    async def play() -> None:
+        gate = hold_reader(monkeypatch)
+        async with Stand() as stand:
+            told, held = stand.life.decider.tell, []
+            stand.life.host.tell_decider = held.append
+            client = await stand.client(OPEN.format(900))
+            await until(lambda: any(isinstance(message, Arrived) for message in held))
+            if before_its_end:
+                client.sock.send(before_its_end)
+            client.sock.close()
+            await until(lambda: has_left(client.consumer))  # type: ignore[attr-defined]
+            stand.life.host.tell_decider = told
+            for message in held:
+                told(message)
+            await turns()
+            assert nobody_came(stand.doors[0])
+            gate.set()
+
+    asyncio.run(play())
+
+
+def test_a_place_in_front_of_the_clients_end_in_the_mailbox_is_not_carried_out() -> None:
+    async def play() -> None:
+        async with Stand() as stand:
+            stand.life.host.tell_decider = lambda message: None
+            client = await stand.client(OPEN.format(900))
+            await until(lambda: client.consumer.stage is Stage.WAITING)  # type: ignore[attr-defined]
+            actor = client.consumer  # type: ignore[attr-defined]
+            # Both stand in the mailbox before the consumer has its turn; the first is taken without a pause.
+            actor.tell(Place("a", "s0", 0, 0.9, stand.doors[0].getsockname()))
+            actor.tell(consumer.ClientEnded(reset=False))
+            await turns()
+            assert nobody_came(stand.doors[0])
+            stand.life.host.tell_decider = stand.life.decider.tell
+
+    asyncio.run(play())
+
+
+def test_a_line_is_not_written_when_the_client_left_while_the_call_connected(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        gate = hold_reader(monkeypatch)
+        up, connect = asyncio.Event(), Peer.connect
+
+        async def late(self: Peer, address: tuple[str, int]) -> None:
+            await connect(self, address)
+            await up.wait()
+
+        monkeypatch.setattr(Peer, "connect", late)
+        async with Stand() as stand:
+            client = await stand.client(OPEN.format(1200))
+            provider = await stand.taken()
+            client.sock.close()
+            await until(lambda: has_left(client.consumer))  # type: ignore[attr-defined]
+            up.set()
+            await provider.sees("end")
+            assert provider.read == b""
+            gate.set()
+
+    asyncio.run(play())
+
+
+def test_no_further_attempt_for_a_client_that_left_during_the_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        gate = hold_reader(monkeypatch)
+        async with Stand(2) as stand:
+            client = await stand.client(OPEN.format(1200))
+            first, provider = await stand.any_taken()
+            await provider.line()
+            client.sock.close()
+            await until(lambda: has_left(client.consumer))  # type: ignore[attr-defined]
+            await provider.send("BUSY", b"\r\n")
+            await provider.sees("end")
+            await turns()
+            assert nobody_came(stand.doors[1 - first]) and nobody_came(stand.doors[first])
+            gate.set()
+
+    asyncio.run(play())
+
+
+def test_a_burst_of_clients_that_leave_sends_nothing_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Some with a flood behind their line: they are gone, and leave nothing behind in the program."""
+    async def play() -> None:
+        gate = hold_reader(monkeypatch)
+        async with Stand(sockets=400) as stand:
+            told, held = stand.life.decider.tell, []
+            stand.life.host.tell_decider = held.append
+            clients = [await stand.client(f"OPEN a{n} b c=quick,d=9000") for n in range(60)]
+            actors: list[Consumer] = [client.consumer for client in clients]  # type: ignore[attr-defined]
+            await until(lambda: all(actor.stage is Stage.WAITING for actor in actors))
+            for client in clients[::3]:
+                with suppress(BlockingIOError):
+                    client.sock.send(b"x" * 5000)
+            for client in clients:
+                client.sock.close()
+            await until(lambda: all(has_left(actor) for actor in actors))
+            stand.life.host.tell_decider = told
+            for message in held:
+                told(message)
+            await turns()
+            assert nobody_came(stand.doors[0])
+            gate.set()
+
+    asyncio.run(play())
+
+
+# ---- the end of the program ------------------------------------------------------------------------
+
+
+def crossing(monkeypatch: pytest.MonkeyPatch, ends: list[End], text: bytes) -> None:
+    """The client's bytes come right after the program has ended its side, or closed the connection."""
+    def crossed(act: Callable[[Peer], None]) -> Callable[[Peer], None]:
+        def acted(self: Peer) -> None:
+            act(self)
+            while ends:
+                ends.pop().sock.send(text)
+
+        return acted
+
+    monkeypatch.setattr(Peer, "finish", crossed(Peer.finish))
+    monkeypatch.setattr(Peer, "close", crossed(Peer.close))
+
+
+async def no_reset(end: End) -> None:
+    """The client ends its side when it has seen the program's; a reset would come after that."""
+    await end.sees("end")
+    end.sock.shutdown(socket.SHUT_WR)
+    await until(lambda: end.consumer.peer.closed)  # type: ignore[attr-defined]
+    await turns()
+    assert end.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0, "a reset followed the end"
+    assert not end.read, f"something else than the end: {end.read!r}"
+
+
+async def rest(client: End) -> None:
+    await client.send("PING", b"\r\n")
+    assert await client.line() == "PONG"
+
+
+@pytest.mark.parametrize("how", ["drain", "first line", "ping", "shed"])
+def test_a_request_that_crosses_the_programs_end_is_not_sent_on_and_not_reset(
+        monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    if how == "first line":
+        monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
+    if how == "ping":
+        monkeypatch.setattr(consumer, "PING_TIME", 0.1)
+
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client()
+            if how in ("drain", "ping"):
+                await rest(client)
+            ends = [client]
+            crossing(monkeypatch, ends, OPEN.format(900).encode() + b"\r\n")
+            if how == "drain":
+                stand.life.leave.set()
+            if how == "shed":
+                client.consumer.shed()  # type: ignore[attr-defined]
+            await no_reset(client)
+            assert not ends and nobody_came(stand.doors[0])
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("how", ["drain", "first line", "ping"])
+def test_a_request_that_came_before_the_programs_end_is_answered(
+        monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    """Its bytes are with the kernel, and the coroutine that reads has not had its turn."""
+    up = Consumer._time_is_up
+    ends: list[End] = []
+
+    def crossed(self: Consumer, *again: bool) -> None:
+        while ends:
+            ends.pop().sock.send(OPEN.format(900).encode() + b"\r\n")
+        up(self, *again)
+
+    monkeypatch.setattr(Consumer, "_time_is_up", crossed)
+    if how == "first line":
+        monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
+    if how == "ping":
+        monkeypatch.setattr(consumer, "PING_TIME", 0.1)
+
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client()
+            if how in ("drain", "ping"):
+                await rest(client)
+            ends.append(client)
+            if how == "drain":
+                stand.life.leave.set()
+            provider = await stand.taken()
+            await provider.line()
+            await provider.send("UP 1", b"\r\n")
+            assert await client.line() == "UP 1"
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("stage", ["new", "resting", "half", "half and its rest", "waiting", "standing"])
+def test_every_stage_of_a_connection_ends_as_it_should_when_the_program_leaves(
+        monkeypatch: pytest.MonkeyPatch, stage: str) -> None:
+    ended: list[Phase] = []
+    finish = Peer.finish
+
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client()
+
+            def finished(self: Peer) -> None:
+                if self is client.consumer.peer:  # type: ignore[attr-defined]
+                    ended.append(stand.life.phase)
+                finish(self)
+
+            monkeypatch.setattr(Peer, "finish", finished)
+            if stage == "resting":
+                await rest(client)
+            if stage.startswith("half"):
+                await client.send("OPEN a b c=qu", b"")
+                await until(lambda: client.consumer.peer.buffer.pending)  # type: ignore[attr-defined]
+            if stage in ("waiting", "standing"):
+                await client.send(OPEN.format(5000), b"\r\n")
+                provider = await stand.taken()
+                await provider.line()
+            if stage == "standing":
+                await provider.send("UP 1", b"\r\n")
+                assert await client.line() == "UP 1"
+            stand.life.leave.set()
+            await until(lambda: stand.life.phase is Phase.MOVING)
+            if stage == "half and its rest":
+                await client.send("ick,d=900", b"\r\n")
+                provider = await stand.taken()
+                await provider.line()
+                await provider.send("UP 2", b"\r\n")
+                assert await client.line() == "UP 2"
+            if stage in ("half and its rest", "standing"):
+                assert await client.line() == "MOVE"
+            if stage == "waiting":
+                assert await client.line() in ("BUSY", "ERR")
+            await no_reset(client)
+            assert ended == [Phase.MOVING]  # not by the end of the process
+
+    asyncio.run(play())
+
+
+def test_a_request_taken_late_with_all_its_time_is_answered_before_the_program_ends() -> None:
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client()
+            await client.send("OPEN a b c=quick,d=60", b"")
+            await until(lambda: client.consumer.peer.buffer.pending)  # type: ignore[attr-defined]
+            stand.life.leave.set()
+            await until(lambda: stand.life.phase is Phase.MOVING)
+            await client.send("000", b"\r\n")
+            await (await stand.taken()).line()  # and nothing ever comes back
+            assert await client.line() in ("BUSY", "ERR")
+            assert not stand.running.done()
+
+    asyncio.run(play())
+
+
+def held_up(tmp_path: Path) -> tuple[subprocess.Popen[bytes], Path]:
+    """The program stands at the opening of its configuration: a pipe that nobody has written to."""
+    pipe = tmp_path / "config.json"
+    os.mkfifo(pipe)
+    process = subprocess.Popen([sys.executable, "-m", "saltcourse"], stderr=subprocess.PIPE,
+                               env=os.environ | {"EDGE_CONFIG": str(pipe)})
+    status, mask = Path(f"/proc/{process.pid}/status"), 1 << (signal.SIGHUP - 1)
+
+    def caught() -> bool:
+        row = next(line for line in status.read_text().splitlines() if line.startswith("SigCgt"))
+        return bool(int(row.split()[1], 16) & mask)
+
+    end = time.monotonic() + 20.0
+    while not caught():
+        assert time.monotonic() < end, "SIGHUP is never caught"
+        time.sleep(0.005)
+    return process, pipe
+
+
+@pytest.mark.parametrize("sent", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM),
+                                  (signal.SIGTERM, signal.SIGTERM, signal.SIGHUP)])
+def test_signals_before_the_program_can_act_on_them_are_held(tmp_path: Path, sent: tuple[int, ...]) -> None:
+    process, pipe = held_up(tmp_path)
+    for number in sent:
+        process.send_signal(number)
+    config = values()
+    config["listen"] = f"127.0.0.1:{free_port()}"
+    config.pop("admin", None)
+    whole = tmp_path / "whole"
+    whole.write_text(json.dumps(config))
+    with pipe.open("w") as writer:  # the program has it open; at SIGHUP it reads the file in its place
+        whole.replace(pipe)
+        writer.write(json.dumps(config))
+    _, said = process.communicate(timeout=20.0)
+    assert process.returncode == 0, said.decode()
+    assert b"Traceback" not in said
+
+
+@pytest.mark.parametrize("phase", [Phase.SERVING, Phase.MOVING])
+def test_signals_in_any_phase_neither_end_nor_break_the_program(phase: Phase) -> None:
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client(OPEN.format(5000))
+            await (await stand.taken()).line()
+            if phase is Phase.MOVING:
+                os.kill(os.getpid(), signal.SIGTERM)
+                await until(lambda: stand.life.phase is Phase.MOVING)
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                os.kill(os.getpid(), number)
+            assert await client.line() in ("BUSY", "ERR")
+            await stand.running
+            for number in (signal.SIGHUP, signal.SIGTERM):  # in its last moments
+                os.kill(os.getpid(), number)
+
+    asyncio.run(play())
+
+
+# ---- discovery -------------------------------------------------------------------------------------
+
+
+class Catalog:
+    """Discovery played by hand, before a directory and nothing else of the program."""
+
+    def __init__(self, version: int) -> None:
+        self.door = listening()
+        self.told: list[Listed] = []
+        self.directory = Directory(self.door.getsockname(), version, self.told.append)
+        self.directory.start()
+        self.calls: list[End] = []
+
+    async def call(self) -> tuple[End, str]:
+        async with asyncio.timeout(10.0):
+            sock, _ = await asyncio.get_running_loop().sock_accept(self.door)
+        self.calls.append(End(sock))
+        target = (await self.calls[-1].line()).split()[1]
+        return self.calls[-1], target
+
+    @staticmethod
+    async def answer(call: End, version: int, full: bool, state: str = "") -> None:
+        servers = f'{{"id":"s0","addr":"127.0.0.1:9","state":"{state}"}}' if state else ""
+        body = f'{{"version":{version},"full":{str(full).lower()},"servers":[{servers}]}}'
+        await call.send(f"HTTP/1.1 200 OK\\r\\nContent-Length: {len(body)}\\r\\n\\r\\n{body}", b"")
+
+    def versions(self) -> list[int]:
+        return [each.listing.version for each in self.told if each.listing is not None]
+
+    async def end(self) -> None:
+        for task in (self.directory.task, *self.directory._calls):
+            if task is not None:
+                task.cancel()
+        for call in self.calls:
+            call.sock.close()
+        self.door.close()
+        await turns()
+
+
+def test_a_whole_list_that_is_late_does_not_undo_what_a_watch_told_meanwhile() -> None:
+    async def play() -> None:
+        catalog = Catalog(5)
+        catalog.directory.tell(lg.FetchList())
+        fetch, _ = await catalog.call()
+        catalog.directory.tell(lg.Watch())
+        watch, target = await catalog.call()
+        assert "after=5&" in target
+        await catalog.answer(watch, 7, False, "DRAINING")
+        _, target = await catalog.call()
+        await catalog.answer(fetch, 6, True, "SERVING")
+        await until(lambda: len(catalog.directory._calls) == 1)  # the fetch is over
+        assert "after=7&" in target and catalog.versions() == [7]
+        await catalog.end()
+
+    asyncio.run(play())
+
+
+def test_a_discovery_that_began_anew_is_believed_though_its_versions_are_lower() -> None:
+    async def play() -> None:
+        catalog = Catalog(41)
+        catalog.directory.tell(lg.Watch())
+        call, _ = await catalog.call()
+        await catalog.answer(call, 3, False, "DRAINING")  # changes to a list that nobody here has
+        call, target = await catalog.call()
+        assert "after=0&" in target
+        await catalog.answer(call, 3, True, "SERVING")
+        call, target = await catalog.call()
+        assert "after=3&" in target and catalog.versions() == [3]
+        await catalog.end()
+
+    asyncio.run(play())
+
+
+def test_a_watch_that_falls_silent_is_made_good_without_a_word_of_the_module(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """A silence is no refusal: the module, which waits after those, has no part in it."""
+    monkeypatch.setattr(directory, "WATCH_TIME", 0.05)
+    monkeypatch.setattr(directory, "WATCH_SLACK", 0.05)
+
+    async def play() -> None:
+        catalog = Catalog(5)
+        catalog.directory.tell(lg.Watch())
+        _, target = await catalog.call()
+        assert "after=5&" in target
+        call, target = await catalog.call()
+        assert target == directory.PATH and not catalog.told
+        await catalog.answer(call, 9, True, "DRAINING")
+        _, target = await catalog.call()
+        assert "after=9&" in target and catalog.versions() == [9]
+        await catalog.end()
+
+    asyncio.run(play())
+
+
+def test_a_silent_watch_and_the_call_in_its_place_fit_into_the_term() -> None:
+    """From a call that is silent from its first moment to the turn of the next one at discovery."""
+    assert directory.WATCH_TIME + directory.WATCH_SLACK + TURN / 2 <= TERM
+    assert directory.WATCH_TIME >= 2.0  # and discovery is not called in a hurry
+
+
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize("refused_after", [0.0, 3.0])
+def test_after_any_number_of_failures_the_list_is_asked_for_within_the_term(
+        seed: int, refused_after: float) -> None:
+    """Discovery may be there again right after a call has failed: the wait and the next call's patience."""
+    node = Node(seed, discovery=lg.Discovery.ASKED, ask_within=10.0)
+    node.list(members(2), lg.ListKind.RESTORED)
+    asked: Callable[[], int] = lambda: len(node.of(lg.Watch)) + len(node.of(lg.FetchList))  # noqa: E731
+    while not asked():
+        node.run(0.05)
+    for _ in range(12):
+        node.run(refused_after)
+        before, failed = asked(), node.now
+        node.give(lg.MembersChanged(lg.ListKind.UNAVAILABLE))
+        while asked() == before:
+            node.run(0.01)
+            assert node.now - failed < TERM
+        assert node.now - failed + TURN <= TERM
+        if refused_after:  # it has waited for its turn already
+            assert node.now - failed <= 0.5
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"ver", b"HTTP/1.1 200 OK\r\n\r\n[1,2",
+    b"\0" * 40 + b"\r\n\r\n",
+    b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", b"x" * 40_000])
+def test_spoilt_lists_are_refusals_and_leave_nothing_behind(spoilt: bytes) -> None:
+    async def play() -> None:
+        files = len(os.listdir("/proc/self/fd"))
+        catalog = Catalog(5)
+        catalog.directory.tell(lg.Watch())
+        call, _ = await catalog.call()
+        with suppress(ConnectionError):
+            call.sock.send(spoilt)
+            call.sock.shutdown(socket.SHUT_WR)
+        await until(lambda: catalog.told)
+        assert catalog.told == [Listed(lg.ListKind.UNAVAILABLE)]
+        await catalog.end()
+        assert len(os.listdir("/proc/self/fd")) <= files
+
+    asyncio.run(play())
+
+
+def test_a_list_in_pieces_with_white_space_and_bytes_behind_it_is_read() -> None:
+    async def play() -> None:
+        catalog = Catalog(5)
+        catalog.directory.tell(lg.Watch())
+        call, _ = await catalog.call()
+        body = '{\n  "version": 6,\n  "full": true,\n  "servers": [ ]\n}\n'
+        for byte in f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}trailing".encode():
+            with suppress(ConnectionError):  # the trailing bytes may find it closed
+                call.sock.send(bytes([byte]))
+            await turns(3)
+        await until(lambda: catalog.versions() == [6])
+        await catalog.end()
+
+    asyncio.run(play())
+
+
+def test_idle_clients_that_fill_the_descriptors_leave_one_for_the_list() -> None:
+    async def play() -> None:
+        async with Stand(asked=True, sockets=48, ask_within=0.4) as stand:
+            crowd = [socket.create_connection(stand.life.address()) for _ in range(120)]
+            for sock in crowd[::2]:
+                with suppress(OSError):
+                    sock.send(b"OPEN hal")
+            for _ in range(3):  # refused, and asked again
+                async with asyncio.timeout(10.0):
+                    call, _ = await asyncio.get_running_loop().sock_accept(stand.discovery)
+                assert Peer.held + lifecycle.OWN_SOCKETS <= 48
+                call.close()
+            for sock in crowd:
+                sock.close()
+            await until(lambda: not stand.life.consumers)
+
+    asyncio.run(play())
