--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -251,8 +251,8 @@
     def _cold_gap(self, server: Server) -> float:
         """Seconds between this node's slots to a cold server, so that all nodes fill it over its warm-up."""
         level = self.level if server.near == 1.0 else self.far_level
-        fleet = max(0.5, server.size * ((level - FEW_SLOTS) * self.settings.balancers + 1))  # 1 to find it
-        return self.settings.warm_up * self.settings.balancers / (fleet * self.peers.pace(self.now))
+        slots = max(0.25, server.size * (level - FEW_SLOTS + 0.5)) * self.peers.pace(self.now)
+        return self.settings.warm_up / slots
 
     # ---- health ---------------------------------------------------------------------------------
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -37,7 +37,7 @@
         return node
 
     def release(self, node: Node, started: float) -> None:
-        """One server starts cold, and six in ten of the others begin to drain: their clients come back at once."""
+        """One starts cold, and six in ten of the others begin to drain: their clients come back at once."""
         node.list((lg.Member("cold", zone="z0", started=started),
                    *members(DRAINED, state=lg.ServerState.DRAINING)), lg.ListKind.CHANGED)
         moved = {move.request for at, move in node.log if isinstance(move, lg.Move) and at == node.now}
@@ -95,9 +95,9 @@
 
 @pytest.mark.parametrize("groups", [False, True])
 @pytest.mark.parametrize("rate", [2.0, 40.0])
-@pytest.mark.parametrize("proxies", [2, 5, 20, 30])
+@pytest.mark.parametrize("proxies", [2, 5, 20, 30, 200])
 def test_the_ramp_holds_for_the_sum_of_all_proxies(proxies: int, rate: float, groups: bool) -> None:
-    found = [worst(proxies, rate, seed, groups) for seed in range(3)]
+    found = [worst(proxies, rate, seed, groups) for seed in range(3 if proxies < 200 else 1)]
     assert max(found) <= 1.0, f"{found}"
 
 
