--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -38,7 +38,7 @@
 ZONE_STRIKES = 4  # silent failures in a row, without one answer, that make a zone look cut off
 ZONE_BACKOFF = 2.0  # s that a zone which looks cut off is left alone
 RECOVERY = 0.05  # of a mean server's level that a learned ceiling regains a tick while it is clean
-RETRY_SHARE = 0.3  # further attempts allowed for each request, so that retries cannot feed a jam
+RETRY_RATIO = 0.3  # retry budget: further attempts that each request adds, so that retries cannot feed a jam
 RETRY_BURST = 10.0  # further attempts that may come at once
 SHED_SLOWNESS = 1.5  # of the slow mark: messages this slow are failing, and connections are moved away
 SHED_ANYWAY = 3.0  # of the slow mark: the aim itself; then moved away even with no room in sight
@@ -169,7 +169,7 @@
         self.strikes: dict[str, int] = {}  # silent failures in a row in each zone
         self.zone_down: dict[str, float] = {}
         self.failed = self.stood = 0.0  # attempts of late that failed or were dropped young; that stood
-        self.retries = RETRY_BURST  # further attempts that may be sent now
+        self.retry_budget = RETRY_BURST  # further attempts that may be sent now
         self.level = self.far_level = 0.0  # ceiling of a mean server of which nothing is learned
         self.quota = sum(t.quota_connections for t in settings.tenants) / settings.balancers
         self.per_load, self.mean_report = 0.0, 0.5  # slots for a server's whole load
@@ -226,7 +226,7 @@
                 server.forget(self.now)
             if (restarted or known is None) and self._warmth(server) < 1.0:
                 # Many nodes hear of a cold server at once; each sends its first at its own moment.
-                server.next_send = self.now + self.random.random() * self._cold_gap(server)
+                server.next_send = self.now + self.random.random() * self._slow_start_gap(server)
             if server.state is ServerState.DRAINING or (
                     event.kind is ListKind.CHANGED and server.state is ServerState.GONE):
                 self._move(list(server.held.values()))  # (a whole list that omits one does not prove it gone)
@@ -248,7 +248,7 @@
             return 1.0
         return min(1.0, share + (1 - share) * max(0.0, self.now - server.started) / warm_up)
 
-    def _cold_gap(self, server: Server) -> float:
+    def _slow_start_gap(self, server: Server) -> float:
         """Seconds between this node's slots to a cold server, so that all nodes fill it over its warm-up."""
         level = self.level if server.near == 1.0 else self.far_level
         slots = max(0.25, server.size * (level - FEW_SLOTS + 0.5)) * self.peers.pace(self.now)
@@ -554,7 +554,7 @@
 
     def _on_request(self, event: NewRequest) -> None:
         request = self._request(event, self.now + event.patience, event.key)
-        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        self.retry_budget = min(RETRY_BURST, self.retry_budget + RETRY_RATIO)
         self._set_timer(request, event.patience)
         (self._give_up if self._storm() else self._seek)(request)
 
@@ -598,9 +598,9 @@
 
     def _place(self, request: Request, server: Server | None = None) -> None:
         left = request.deadline - self.now
-        again = request.attempts < self.settings.max_attempts and left > LAST_TRY and self.retries >= 1
+        again = request.attempts < self.settings.max_attempts and left > LAST_TRY and self.retry_budget >= 1
         if server is None and (request.attempts == 0 or (again and not self._storm())):
-            self.retries -= min(request.attempts, 1)
+            self.retry_budget -= min(request.attempts, 1)
             server = self._pick(request)
         if server is None:
             self._give_up(request)
@@ -610,7 +610,7 @@
         request.attempts += 1
         self._occupy(server, request)
         if self._warmth(server) < 1.0:
-            server.next_send = self.now + request.load * self._cold_gap(server)
+            server.next_send = self.now + request.load * self._slow_start_gap(server)
         self._sign(server, Sign.SENT, request)
         self.out.append(Send(request.id, server.id, self._timeout(request, left)))
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -314,7 +314,7 @@
 
 
 class FloodsCold(Balancer):
-    def _cold_gap(self, server: Server) -> float:
+    def _slow_start_gap(self, server: Server) -> float:
         return 0.0
 
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -102,5 +102,5 @@
 
 
 def test_the_check_sees_a_ramp_that_does_not_hold(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Balancer, "_cold_gap", lambda self, server: 0.0)
+    monkeypatch.setattr(Balancer, "_slow_start_gap", lambda self, server: 0.0)
     assert min(worst(proxies, 40.0, 0, False) for proxies in (2, 5, 20, 30)) > 1.0
