--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -659,3 +659,44 @@
             await until(lambda: not stand.life.consumers)
 
     asyncio.run(play())
+
+
+# ---- bad input on these paths: nothing raises, and the stand counts descriptors and tasks ------------
+
+
+@pytest.mark.parametrize("sent", [
+    b"x" * 5000,
+    b"OPEN a b c=qu", b"OPEN a b\r\n", b"\0\xff\r\n", b"PING\r\nPING\r\nOPEN", b"MOVE\r\n" * 2000,
+    OPEN.format(900).encode() + b"\r\n" + OPEN.format(900).encode() + b"\r\n"])
+@pytest.mark.parametrize("how", ["ends", "resets", "stays until the program leaves"])
+def test_bad_lines_are_ended_and_leave_nothing_behind(sent: bytes, how: str) -> None:
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client()
+            with suppress(ConnectionError, BlockingIOError):
+                client.sock.send(sent)
+            if how == "ends":
+                client.sock.shutdown(socket.SHUT_WR)
+                await until(lambda: not stand.life.consumers)
+            elif how == "resets":
+                client.resets()
+                await until(lambda: not stand.life.consumers)
+            await turns()
+            assert nobody_came(stand.doors[0])
+
+    asyncio.run(play())
+
+
+def test_a_second_open_while_the_first_waits_fails_it_and_is_not_sent_on() -> None:
+    async def play() -> None:
+        async with Stand(2) as stand:
+            client = await stand.client(OPEN.format(5000))
+            first, provider = await stand.any_taken()
+            await provider.line()
+            await client.send("OPEN c b c=quick,d=5000", b"\r\n")
+            assert await client.line() == "ERR"
+            await client.sees("end")
+            await provider.sees("end")
+            assert nobody_came(stand.doors[0]) and nobody_came(stand.doors[1])
+
+    asyncio.run(play())
