A request already read is not thrown away when its time is up before it is heard

Between a read that is done and the turn of the coroutine that waits for it, nothing waits with the kernel and nothing stands in the buffer, so the timer ended the connection and the request was dropped. Change: Peer.has_unread also knows of such a read.

--- a/saltcourse/net/stream.py
+++ b/saltcourse/net/stream.py
@@ -82,6 +82,7 @@
         self.buffer = LineBuffer()
         self._closed = False
         self._sent = 0  # by the streams before this one
+        self._read: asyncio.Future[int] | None = None  # the read that ``fill`` waits for
         self._stream = self._wrap(sock)
         Peer.held += 1
 
@@ -114,8 +115,11 @@
         return self._closed or self._stream.ended or bool(self._poll(ENDED) & ENDED)
 
     def has_unread(self) -> bool:
-        """Bytes, or an end, have come that nobody has read yet."""
-        return not self._closed and bool(self._poll(select.POLLIN) & select.POLLIN)
+        """Bytes, or an end, have come of which the coroutine that reads has not heard yet: they wait with the
+        kernel, or its read is done and it has not had its turn."""
+        if self._closed:
+            return False
+        return self._read is not None and self._read.done() or bool(self._poll(select.POLLIN) & select.POLLIN)
 
     async def connect(self, address: tuple[str, int]) -> None:
         try:
@@ -128,11 +132,14 @@
         stream = self._stream
         try:
             room = self.buffer.room()
-            self.buffer.filled(await stream.read_into(cast(bytearray, room), partial=True))
+            self._read = cast("asyncio.Future[int]", stream.read_into(cast(bytearray, room), partial=True))
+            self.buffer.filled(await self._read)
         except OSError as wrong:
             if stream.ended:
                 return False
             raise PeerReset(str(wrong)) from None
+        finally:
+            self._read = None
         return True
 
     async def write(self, data: memoryview | bytes) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -362,6 +362,34 @@
     asyncio.run(play())
 
 
+def test_a_request_that_is_read_but_not_heard_yet_is_answered_though_its_time_is_up(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time is up between the read and the turn of the coroutine that waits for it."""
+    read = _HalfStream.read_from_fd
+    actors: list[Consumer] = []
+
+    def crossed(self: _HalfStream, buf: memoryview) -> int | None:
+        count = read(self, buf)
+        if count and actors and self is actors[0].peer._stream:
+            asyncio.get_running_loop().call_soon(actors.pop()._time_is_up)
+        return count
+
+    monkeypatch.setattr(_HalfStream, "read_from_fd", crossed)
+
+    async def play() -> None:
+        async with Stand(klass=SHORT) as stand:
+            client = await stand.client()
+            await rest(client)
+            actors.append(client.consumer)  # type: ignore[attr-defined]
+            await client.send(OPEN.format(900), b"\r\n")
+            provider = await stand.taken()
+            await provider.line()
+            await provider.send("UP 1", b"\r\n")
+            assert not actors and await client.line() == "UP 1"
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("stage", ["new", "resting", "half", "half and its rest", "waiting", "standing"])
 def test_every_stage_of_a_connection_ends_as_it_should_when_the_program_leaves(
         monkeypatch: pytest.MonkeyPatch, stage: str) -> None:
