--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -298,6 +298,13 @@
     assert not end.read, f"something else than the end: {end.read!r}"
 
 
+def short_times(monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    if how == "first line":
+        monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
+    if how == "ping":
+        monkeypatch.setattr(consumer, "PING_TIME", 0.1)
+
+
 async def rest(client: End) -> None:
     await client.send("PING", b"\r\n")
     assert await client.line() == "PONG"
@@ -306,10 +313,7 @@
 @pytest.mark.parametrize("how", ["drain", "first line", "ping", "shed"])
 def test_a_request_that_crosses_the_programs_end_is_not_sent_on_and_not_reset(
         monkeypatch: pytest.MonkeyPatch, how: str) -> None:
-    if how == "first line":
-        monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
-    if how == "ping":
-        monkeypatch.setattr(consumer, "PING_TIME", 0.1)
+    short_times(monkeypatch, how)
 
     async def play() -> None:
         async with Stand(klass=SHORT) as stand:
@@ -341,10 +345,7 @@
         up(self, *again)
 
     monkeypatch.setattr(Consumer, "_time_is_up", crossed)
-    if how == "first line":
-        monkeypatch.setattr(consumer, "FIRST_LINE_TIME", 0.1)
-    if how == "ping":
-        monkeypatch.setattr(consumer, "PING_TIME", 0.1)
+    short_times(monkeypatch, how)
 
     async def play() -> None:
         async with Stand(klass=SHORT) as stand:
