Gossip: settings of a node and the interfaces between its parts

Need: parts of the package are built side by side and have to fit. Change: timing, voters and node settings as records; a proposal names the publisher's epoch beside the change, which keeps its first position when it is proposed again.

--- a/saltcourse/gossip/messages.py
+++ b/saltcourse/gossip/messages.py
@@ -231,18 +231,21 @@
     epoch: int
     committed: Position
     accepted: Change | None = None
-    accepted_epoch: int = 0  # under which it took it; not always the epoch it was first proposed under
+    accepted_epoch: int = 0  # under which it took it; not always ``accepted.position.epoch``
 
 
 @dataclass(frozen=True, slots=True)
 class Propose:
-    """``change.position.epoch`` is the publisher's epoch."""
+    """``epoch`` is the publisher's. The change keeps the position that its first publisher gave it, also where
+    a later one proposes it again: a change that was committed before is then the same one."""
 
+    epoch: int
     change: Change
 
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    epoch: int
     position: Position
 
 
--- /dev/null
+++ b/saltcourse/gossip/settings.py
@@ -0,0 +1,55 @@
+"""What a gossip node is told at its start: who it is, whom to ask first, how often it does what."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from saltcourse.gossip.messages import Address, MemberId, MemberRecord, member_id
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Seconds, unless said otherwise. The same at all members."""
+
+    probe_interval: float = 1.0  # one member is probed in each
+    probe_timeout: float = 0.4  # for a direct answer, then others are asked; above a round trip between regions
+    indirect_probes: int = 3  # members asked to probe for this one
+    suspicion_multiplier: float = 4.0  # times log10 of the fleet times the interval: until a suspect is dead
+    gossip_interval: float = 0.2  # between messages of updates alone, while there are any to send
+    gossip_fanout: int = 3  # members that each of them goes to
+    retransmit_multiplier: float = 3.0  # times log10 of the fleet: how often one update is passed on
+    sync_interval: float = 10.0  # between comparisons of the member table with a random member
+    reconnect_interval: float = 2.0  # between probes of members that are held for dead
+    forget_after: float = 3_600.0  # since a member died or left
+    zone_silence: float = 3.0  # without a word from a whole zone before its suspicions are held
+    stall: float = 3.0  # by which a tick may be late before this process takes itself for one that stood still
+    announce_fanout: int = 4  # members told of a change that was just applied
+    fetch_timeout: float = 0.5  # until another member is asked
+    snapshot_bytes_per_s: float = 8_000.0  # that a late joiner asks for
+    heartbeat_interval: float = 1.0  # of the publisher
+    takeover_after: float = 5.0  # without a heartbeat before another voter tries to publish
+    stale_after: float = 10.0  # without a heartbeat before a member says that it may lack news
+    publish_timeout: float = 4.0  # until a change that found no majority is told as failed
+    tally_interval: float = 1.0  # between sums sent up the aggregation tree
+
+
+@dataclass(frozen=True, slots=True)
+class Voter:
+    """A control member that takes part in the agreement on changes. All members know the same list."""
+
+    name: str
+    address: Address
+
+    @property
+    def id(self) -> MemberId:
+        return member_id(self.name)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    me: MemberRecord  # with a ``process`` drawn at this start; the incarnation may be 0
+    seeds: tuple[Address, ...]  # asked for the member table at the start, and again while nobody is known
+    voters: tuple[Voter, ...]
+    key: bytes  # shared by all members; authenticates each datagram
+    bytes_per_s: float = 21_000.0  # sent and received, IP and UDP headers included
+    timing: Timing = field(default_factory=Timing)
