Capacity: formulas, tables and the weighing's costs, worked out from kept slopes

Need: the capacity page's figures must come from measurements by stated formulas, and must not drift. Change: benchmarks/capacity.py fills the marked tables and figures of the pages; capacity_model has constants and formulas, capacity_tables and capacity_roles the tables, scale_weighing the mechanisms' costs.

--- /dev/null
+++ b/benchmarks/capacity_roles.py
@@ -0,0 +1,320 @@
+"""The tables of ``docs/CAPACITY.md`` by role: ordinary day, peak and each failure."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from capacity_model import (
+    BYTES_BUDGET,
+    CASA_MAIN_RATE,
+    CHANGES_A_DAY,
+    CHANGE_BYTES,
+    CONNECTIONS,
+    DAY,
+    DELIVERIES,
+    LIVES,
+    PACKET_BYTES,
+    PEAK,
+    PROXIES,
+    PUSH_SERVERS,
+    RACK_PROXIES,
+    SCRAPE_BYTES,
+    SCRAPE_EVERY,
+    SPREAD,
+    ZONES,
+    ZONES_OF_REGION,
+    Measurements,
+    Range,
+    arrivals,
+    connections_per_proxy,
+    cores,
+    deliveries_per_proxy,
+    exactly,
+    mesh_bytes,
+    mesh_cpu,
+    ordinary_cores,
+    returning,
+    standing_memory,
+    table,
+    worked,
+)
+from capacity_tables import NOT_MEASURED, over
+from scale_weighing import CHANGE_OVERHEAD, QUORUM_MESSAGE, swim_bytes
+
+
+def data_path_days(m: Measurements, _: dict[str, Any]) -> str:
+    hour, short = LIVES["1 h"], LIVES["36 s"]
+    deliveries = deliveries_per_proxy()
+
+    def row(what: str, more: float, over_seconds: float, carried: str) -> tuple[str, ...]:
+        """So many more connections, which come within so many seconds, beside an ordinary day of 1 h."""
+        rate = arrivals(hour) + more / over_seconds
+        share = 1 + more / connections_per_proxy()
+        busy = cores(deliveries * share, m.slope("delivery")) + cores(rate, m.slope("set_up"))
+        return (
+            what,
+            worked(deliveries * share, "lines out/s"),
+            worked(rate, "set-ups/s"),
+            worked(busy, "cores"),
+            worked(standing_memory(m, connections_per_proxy() + more) * 1e-9, "GB"),
+            carried,
+        )
+
+    zone = PROXIES // ZONES
+    region = zone * (ZONES - ZONES_OF_REGION)
+    rows = [
+        row("ordinary day, mean life 1 h", 0.0, 1.0, "one connection to a push server for each client"),
+        (
+            f"peak: {PEAK} times (a)",
+            worked(PEAK * deliveries, "lines out/s"),
+            worked(PEAK * arrivals(hour), "set-ups/s"),
+            worked(ordinary_cores(m, hour) * PEAK, "cores"),
+            worked(standing_memory(m, connections_per_proxy()) * PEAK * 1e-9, "GB"),
+            "more processes",
+        ),
+        (
+            "ordinary day, mean life 36 s",
+            worked(deliveries, "lines out/s"),
+            worked(arrivals(short), "set-ups/s"),
+            worked(ordinary_cores(m, short), "cores"),
+            worked(standing_memory(m, connections_per_proxy()) * 1e-9, "GB"),
+            "the same",
+        ),
+        row("one proxy replaced, its clients within 4 s (a)", returning(1), 4.0, "`MOVE`, drain plan"),
+        row(
+            f"a rack of {RACK_PROXIES} (a) lost, back within 60 s (a)",
+            returning(RACK_PROXIES),
+            SPREAD,
+            "the front's notice, BUSY with a retry-after",
+        ),
+        row(
+            f"restart wave: {zone} of one zone, clients within 60 s (a)",
+            returning(zone),
+            SPREAD,
+            "`MOVE`, drain plan, BUSY",
+        ),
+        row("a zone lost, clients back within 60 s (a)", returning(zone), SPREAD, "BUSY with a retry-after"),
+        row(
+            "the smaller region lost to its clients, back within 60 s (a)",
+            returning(region),
+            SPREAD,
+            "BUSY with a retry-after; capacity for it is a question",
+        ),
+        (
+            "regions cut from each other",
+            worked(deliveries, "lines out/s"),
+            worked(arrivals(hour), "set-ups/s"),
+            worked(ordinary_cores(m, hour), "cores"),
+            worked(standing_memory(m, connections_per_proxy()) * 1e-9, "GB"),
+            "connections over the cut are silent, and moved after 4 to 7 s; how many is a question",
+        ),
+        (
+            "healing",
+            "as before",
+            "none by itself",
+            "as before",
+            "as before",
+            "nothing is moved back at once: 5% a second at most, and none where there are groups",
+        ),
+        row(
+            "all readers of a lost zone come back, within 60 s (a)",
+            connections_per_proxy(),
+            SPREAD,
+            "admission: BUSY with a retry-after",
+        ),
+    ]
+    return table(("proxy: data path", "lines", "set-ups", "CPU", "memory", "carried by"), rows)
+
+
+def control_days(m: Measurements, _: dict[str, Any]) -> str:
+    zone = PROXIES // ZONES
+    region = zone * (ZONES - ZONES_OF_REGION)
+    each_table = m.at("mesh_start_received", PROXIES) * 1e3 / (PROXIES - 1)
+    each_cpu = m.at("mesh_start_take", PROXIES) * 1e-3 / (PROXIES - 1)
+    quiet = (mesh_bytes(m, PROXIES), mesh_cpu(m, PROXIES), m.at("mesh_memory", PROXIES) * 1e3)
+
+    def tables(what: str, count: int, carried: str) -> tuple[str, ...]:
+        """So many whole tables are told to this proxy or by it, beside the ordinary day."""
+        told = each_table * count
+        return (
+            what,
+            worked(told * 1e-3, "KB at once"),
+            worked(each_cpu * count, "core-seconds"),
+            worked(quiet[2] * 1e-6, "MB"),
+            worked(told / BYTES_BUDGET, "s of the budget"),
+            carried,
+        )
+
+    def rates(what: str, rate: float, carried: str) -> tuple[str, ...]:
+        sent, cpu = mesh_bytes(m, PROXIES, rate), mesh_cpu(m, PROXIES, rate)
+        return (
+            what,
+            worked(sent * 1e-3, "KB/s"),
+            worked(cpu * 100, "%"),
+            worked(quiet[2] * 1e-6, "MB"),
+            over(sent, BYTES_BUDGET),
+            carried,
+        )
+
+    rows = [
+        rates("ordinary day, casa-main's 2.75 (a) new connections/s", CASA_MAIN_RATE, "full mesh"),
+        rates("peak: 1.5 (a) times that", PEAK * CASA_MAIN_RATE, "full mesh"),
+        rates("mean life 1 h", arrivals(LIVES["1 h"]), "full mesh"),
+        rates("mean life 36 s", arrivals(LIVES["36 s"]), "full mesh"),
+        tables("this proxy restarts: asks all", PROXIES - 1, "ASKS_ALL to each peer"),
+        tables(f"a rack of {RACK_PROXIES} (a) restarts: each asks this one", RACK_PROXIES, "ASKS_ALL"),
+        tables("restart wave of a zone: each asks this one", zone, "ASKS_ALL"),
+        (
+            "a zone lost",
+            "less by a fifth (w)",
+            "less by a fifth (w)",
+            "less by a fifth (w)",
+            "none",
+            "forgotten 12 s (a) after the last message; its connections fade by half in 30 s (a)",
+        ),
+        ("regions cut from each other", "less", "less", "less", "none", "each side forgets the other"),
+        tables("healing, larger region: tables of the smaller one", region, "digests differ, ASKS_ALL"),
+        tables(
+            "healing, smaller region: tables of the larger one", PROXIES - region, "digests differ, ASKS_ALL"
+        ),
+        rates(
+            "readers of a lost zone come back within 60 s (a)",
+            arrivals(LIVES["1 h"]) + returning(zone) / SPREAD,
+            "full mesh",
+        ),
+    ]
+    return table(
+        (
+            "proxy: control (today's mesh)",
+            "messages, sent plus received",
+            "CPU",
+            "copies",
+            "over the budget",
+            "carried by",
+        ),
+        rows,
+    )
+
+
+def control_machines(_: Measurements, scale: dict[str, Any]) -> str:
+    change = 2.0 * 4 * (QUORUM_MESSAGE + PACKET_BYTES)
+    accept = (
+        Range(*CHANGE_BYTES) * 4 + 4 * (CHANGE_OVERHEAD + PACKET_BYTES) + 4 * (QUORUM_MESSAGE + PACKET_BYTES)
+    )
+    beats = 2.0 * 4 * (QUORUM_MESSAGE + PACKET_BYTES)
+    told = NOT_MEASURED if not scale else "see the run"
+    rows = [
+        ("ordinary day, any member", worked(swim_bytes(PROXIES) * 1e-3, "KB/s"), "member table", told),
+        (
+            "ordinary day, the publisher besides",
+            worked((exactly(beats) + accept * (CHANGES_A_DAY / DAY)) * 1e-3, "KB/s"),
+            "lease of 4 voters each second; one accept round a change",
+            told,
+        ),
+        ("a burst of 50 (a) changes", worked(accept * 50 * 1e-3, "KB"), "one after another", told),
+        (
+            "the publisher fails",
+            worked(change * 2 * 1e-3, "KB"),
+            "another voter prepares after 5 s (a) without a heartbeat",
+            told,
+        ),
+        ("a zone lost: one voter of 5", "less", "majority of 3 stays", told),
+        (
+            "regions cut from each other",
+            "less",
+            "three voters commit, two do not; which is which depends on the region",
+            told,
+        ),
+        (
+            "healing",
+            worked(Range(*CHANGE_BYTES) * 1.0, "bytes for each change missed"),
+            "the two learn what was committed",
+            told,
+        ),
+        ("disk", "one small file (a)", "promise, accepted change, configuration: at most 256 KiB (a)", told),
+    ]
+    return table(
+        ("control machine (to be)", "messages, sent plus received", "state and mechanism", "measured"), rows
+    )
+
+
+def push_servers(m: Measurements, _: dict[str, Any]) -> str:
+    each = CONNECTIONS / PUSH_SERVERS
+    rows = [
+        ("connections of one push server", worked(each), "from every proxy that placed one there"),
+        ("lines to us", worked(DELIVERIES / PUSH_SERVERS, "/s"), "one connection for each client"),
+        ("set-ups, mean life 1 h", worked(each / LIVES["1 h"], "/s"), "paced while cold, slots else"),
+        ("set-ups, mean life 36 s", worked(each / LIVES["36 s"], "/s"), "the same"),
+        ("it fails or drains: clients that come back", worked(each, "in all"), "placed elsewhere at once"),
+        ("the same, to one proxy", worked(each / PROXIES), "its share"),
+        ("a zone of proxies is lost: its connections are reset", worked(each / ZONES), "the kernel"),
+        (
+            "the same clients come back within 60 s (a)",
+            worked(each / ZONES / SPREAD, "set-ups/s"),
+            "slots and ceilings of each proxy, learned anew",
+        ),
+        (
+            "the whole list at a proxy",
+            worked(m.at("list_text", PUSH_SERVERS), "KB"),
+            f"read in {worked(m.at('list_read', PUSH_SERVERS), 'ms')}, "
+            f"taken in {worked(m.at('list_whole', PUSH_SERVERS), 'ms')}",
+        ),
+        (
+            "the whole list within 21 KB/s (a), if it counts as control",
+            worked(m.at("list_text", PUSH_SERVERS) * 1e3 / BYTES_BUDGET, "s"),
+            "a question",
+        ),
+        (
+            "one change of the list",
+            worked(m.at("list_change", PUSH_SERVERS), "ms"),
+            "each refresh looks at all",
+        ),
+    ]
+    return table(("push server as seen by us, 5,000 of them (a)", "figure", "carried by"), rows)
+
+
+def tools(_: Measurements, __: dict[str, Any]) -> str:
+    reading = Range(*SCRAPE_BYTES) * PROXIES / SCRAPE_EVERY * 1e-3
+    signals = float(CHANGES_A_DAY * PROXIES)
+    rows = [
+        (
+            "figures of all proxies, every 10 s (a)",
+            worked(reading, "KB/s"),
+            worked(PROXIES / SCRAPE_EVERY, "calls/s"),
+            "one call a connection at each admin address",
+        ),
+        (
+            "changes of configuration, today",
+            "a file each",
+            worked(signals, "SIGHUPs a day"),
+            "the operators' own copying",
+        ),
+        (
+            "changes of configuration, to be",
+            worked(CHANGES_A_DAY / DAY * 60, "calls/minute"),
+            "one call a change",
+            "the publisher's admin address",
+        ),
+        (
+            "who lacks a change, to be",
+            "with the figures",
+            "with the figures",
+            "position and freshness of each",
+        ),
+        (
+            "a zone or region cut off",
+            "less",
+            "calls there fail",
+            "the other side's own figures tell that it is cut off",
+        ),
+    ]
+    return table(("operator's tools", "bytes or rate", "calls", "mechanism"), rows)
+
+
+TABLES = {
+    "data-path-days": data_path_days,
+    "control-days": control_days,
+    "control-machines": control_machines,
+    "push-servers": push_servers,
+    "tools": tools,
+}
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -535,7 +535,7 @@
 UNITS = {"mesh_start_received": "kb", "mesh_start_take": "ms", "mesh_sent": "kb_per_s",
          "mesh_received": "kb_per_s", "mesh_messages": "per_s", "mesh_take": "ms_per_s",
          "mesh_send": "ms_per_s", "mesh_memory": "kb"}
-CROWD_COSTS = ("mesh_sent", "mesh_take", "mesh_memory")
+CROWD_COSTS = ("mesh_sent", "mesh_messages", "mesh_take", "mesh_memory")
 
 
 def measure_mesh(results: Results, sizes: Sizes) -> None:
