--- /dev/null
+++ b/benchmarks/slopes_module.py
@@ -0,0 +1,129 @@
+"""What a placement, a change of the list and a group cost in the module, driven directly."""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import orjson
+from slopes_results import Results, Sizes
+
+from saltcourse import interface as lg
+from saltcourse.fleet.core import Fleet
+from saltcourse.policy import Balancer
+from saltcourse.wire.members import read_list
+
+
+def settings(**changes: Any) -> lg.Settings:
+    return lg.Settings((lg.RequestClass("c", 1.0, 3.0),), **changes)
+
+
+def members(count: int) -> tuple[lg.Member, ...]:
+    return tuple(lg.Member(f"server-{i}") for i in range(count))
+
+
+def timed(balancer: Balancer, now: float, event: lg.Event) -> tuple[float, list[lg.Action]]:
+    """CPU in ms of one event, and the module's actions."""
+    begin = time.process_time()
+    actions = balancer.handle(now, event)
+    return 1e3 * (time.process_time() - begin), actions
+
+
+def place(balancer: Balancer, number: int, group: str) -> float:
+    """CPU in ms of one placement; the connection then stands."""
+    now, request = 10.0 + number / 100, f"r{number}"
+    cpu, _ = timed(balancer, now, lg.NewRequest(request, "c", 3.0, group=group))
+    balancer.handle(now, lg.Established(request, 0, 0.01))
+    return cpu
+
+
+def placements(servers: int, count: int, groups: bool) -> tuple[float, float]:
+    """Mean CPU of a placement: of groups that are new here, and of the same groups again."""
+    balancer = Balancer(settings(groups=groups), 1)
+    balancer.handle(0.0, lg.MembersChanged(lg.ListKind.WHOLE, members(servers)))
+    names = [f"group-{i}" if groups else "" for i in range(count)]
+    first = statistics.mean([place(balancer, i, name) for i, name in enumerate(names)])
+    again = statistics.mean([place(balancer, count + i, name) for i, name in enumerate(names)])
+    return first, again
+
+
+def list_costs(servers: int) -> dict[str, float]:
+    """The list's way into the module: text read, first whole list, one change, a whole list again."""
+    text = orjson.dumps({"version": 1, "full": True, "servers": [
+        {"id": f"server-{i}", "addr": f"10.0.{i // 250}.{i % 250}:8081", "zone": "z1", "kind": "m2",
+         "cell": 1, "state": "SERVING", "weight": 1.0, "started_ms": 0} for i in range(servers)]})
+    begin = time.process_time()
+    read_list(orjson.loads(text))
+    read = 1e3 * (time.process_time() - begin)
+    balancer, whole = Balancer(settings(), 1), members(servers)
+    first, _ = timed(balancer, 0.0, lg.MembersChanged(lg.ListKind.WHOLE, whole))
+    drained = (lg.Member("server-0", lg.ServerState.DRAINING),)
+    change, _ = timed(balancer, 1.0, lg.MembersChanged(lg.ListKind.CHANGED, drained))
+    again, _ = timed(balancer, 2.0, lg.MembersChanged(lg.ListKind.WHOLE, whole))
+    return {"list_read": read, "list_first": first, "list_change": change, "list_whole": again,
+            "list_text": len(text) / 1e3}
+
+
+def measure_module(results: Results, sizes: Sizes) -> None:
+    plain = [placements(count, sizes.placements, groups=False) for count in sizes.servers]
+    grouped = [placements(count, sizes.placements, groups=True) for count in sizes.servers]
+    lists = [list_costs(count) for count in sizes.servers]
+    results.add("placement", "ms", "server", sizes.servers, [first for first, _ in plain])
+    results.add("placement_new_group", "ms", "server", sizes.servers, [first for first, _ in grouped])
+    results.add("placement_held_group", "ms", "server", sizes.servers, [again for _, again in grouped])
+    for name, unit in {"list_read": "ms", "list_first": "ms", "list_change": "ms", "list_whole": "ms",
+                       "list_text": "kb"}.items():
+        results.add(name, unit, "server", sizes.servers, [found[name] for found in lists])
+
+
+# ---- what a group costs -----------------------------------------------------------------------------
+
+
+def traced(work: Callable[[], Any]) -> float:
+    """kB that what ``work`` returns, and what it changed, keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    kept = work()
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return held / 1e3
+
+
+def resume(count: int, groups: bool) -> Balancer:
+    """A module that holds so many connections, each of a group of its own or of none."""
+    balancer = Balancer(settings(groups=True, peers=True, balancers=2), 1)
+    balancer.handle(0.0, lg.MembersChanged(lg.ListKind.WHOLE, members(100)))
+    for i in range(count):
+        group = f"group-{i}" if groups else ""
+        balancer.handle(1.0, lg.ConnectionResumed(f"r{i}", "c", f"server-{i % 100}", group=group))
+    balancer.handle(20.0, lg.ClientGone("nobody"))  # what there is to tell is told
+    return balancer
+
+
+def pairs_of_peer(count: int) -> float:
+    """kB that one peer's pairs take in this proxy's copy."""
+    told = partial(settings, balancers=2, peers=True, groups=True)
+    owner, receiver = Fleet(told(index=0), 1, {}), Fleet(told(index=1), 2, {})
+    for i in range(count):
+        owner.hold(f"server-{i % 100}", f"group-{i}", True)
+    texts = [text for peer, text in owner.due(1.0) if peer is None]
+
+    def hear() -> Fleet:
+        for text in texts:
+            receiver.heard(1.1, 0, text)
+        return receiver
+
+    return traced(hear)
+
+
+def measure_groups(results: Results, sizes: Sizes) -> None:
+    own = [traced(lambda n=n: resume(n, True)) - traced(lambda n=n: resume(n, False)) for n in sizes.groups]
+    results.add("group_in_module", "kb", "group", sizes.groups, own)
+    results.add("pair_of_peer", "kb", "pair", sizes.groups, [pairs_of_peer(n) for n in sizes.groups])
