Slopes: a line there and back on one connection at a time

Need: the lead for a line is twice to three times what lines on 100 connections cost; the loop's turn for each line is the supposed cause, to be measured. Change: line_alone, beside line_trip and with its control.

--- a/benchmarks/slopes_data_path.py
+++ b/benchmarks/slopes_data_path.py
@@ -194,6 +194,12 @@
         await self._served
 
 
+    async def push_again(self, times: int, lines: int = 1) -> None:
+        """So many lines there, one after another, and for each so many back."""
+        for _ in range(times):
+            await self.push(lines)
+
+
 class Crowd:
     """Clients of one proxy, in this process."""
 
@@ -269,13 +275,8 @@
             client.transport.close()
 
     async def push(self, requests: int, lines: int) -> None:
-        """Each connection sends ``requests`` lines, one after another, and gets ``lines`` for each."""
-        await in_parallel([partial(self._push, client, requests, lines) for client in self.standing])
-
-    @staticmethod
-    async def _push(client: Client, requests: int, lines: int) -> None:
-        for _ in range(requests):
-            await client.push(lines)
+        """On all connections at once."""
+        await in_parallel([partial(client.push_again, requests, lines) for client in self.standing])
 
 
 def split(count: int, parts: int) -> list[range]:
@@ -312,6 +313,8 @@
         await work(size)
         return 1e3 * (cpu_seconds(pid) - before)
 
+    alone = [await cost(crowd.standing[0].push_again, n) for n in sizes.lines_alone]
+    results.add(f"line_alone{suffix}", "ms", "trip", sizes.lines_alone, alone)
     trips = [await cost(lambda n: crowd.push(n // ACTIVE, 1), n) for n in sizes.lines]
     results.add(f"line_trip{suffix}", "ms", "trip", sizes.lines, trips)
     deliveries = [await cost(lambda n: crowd.push(1, n // ACTIVE), n) for n in sizes.lines]
