--- a/benchmarks/capacity_model.py
+++ b/benchmarks/capacity_model.py
@@ -248,10 +248,26 @@
     return Range(min(found.low, most), min(found.high, most))
 
 
+def mesh_sent_per_connection(m: Measurements) -> Range:
+    """KB to one peer for one new connection. The lower end has the records alone, a fresh pair told when it
+    comes and when it goes; the upper end is the line through several rates of new connections, in which
+    answers to lost messages grow with the tables."""
+    fresh = shards_held(connections_per_proxy()) / connections_per_proxy()
+    records = 2 * PAIR_RECORD_BYTES * fresh * 1e-3
+    line = mesh_per_connection(m, "mesh_sent_crowd")
+    return Range(min(records, line.low), line.high)
+
+
+def mesh_sent(m: Measurements, proxies: int, rate: float) -> Range:
+    """KB that one proxy sends a second, without headers."""
+    more = max(0.0, rate - CASA_MAIN_RATE) * (proxies - 1)
+    return m.at("mesh_sent", proxies) + mesh_sent_per_connection(m) * more
+
+
 def mesh_bytes(m: Measurements, proxies: int, rate: float = CASA_MAIN_RATE) -> Range:
     """Sent plus received by one proxy a second, IP and UDP headers included."""
     headers = mesh_messages(m, proxies, rate) * (2 * PACKET_BYTES)
-    return mesh_at(m, "mesh_sent", proxies, rate) * 2e3 + headers
+    return mesh_sent(m, proxies, rate) * 2e3 + headers
 
 
 def mesh_cpu(m: Measurements, proxies: int, rate: float = CASA_MAIN_RATE) -> Range:
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -43,7 +43,16 @@
     worked,
 )
 from capacity_tables import NOT_MEASURED, over
-from scale_weighing import CHANGE_OVERHEAD, QUORUM_MESSAGE, swim_bytes
+from scale_weighing import (
+    CHANGE_OVERHEAD,
+    MEMBER_UPDATE,
+    QUORUM_MESSAGE,
+    STATUS_UPDATE,
+    change_bytes,
+    retransmissions,
+    swim_bytes,
+    whole_member_table,
+)
 
 
 def data_path_days(m: Measurements, _: dict[str, Any]) -> str:
@@ -66,6 +75,7 @@
 
     zone = PROXIES // ZONES
     region = zone * (ZONES - ZONES_OF_REGION)
+    refill = arrivals(hour) + connections_per_proxy() / SPREAD
     rows = [
         row("ordinary day, mean life 1 h (a)", 0.0, 1.0, "one connection to a push server for each client"),
         (
@@ -120,10 +130,12 @@
             "as before",
             "nothing is moved back at once: 5% (a) a second at most, and none where there are groups",
         ),
-        row(
-            "all readers of a lost zone come back, within 60 s (a)",
-            connections_per_proxy(),
-            SPREAD,
+        (
+            "the zone is back and all its readers return to its proxies within 60 s (a)",
+            worked(deliveries, "lines out/s"),
+            worked(refill, "set-ups/s"),
+            worked(cores(deliveries, m.slope("delivery")) + cores(refill, m.slope("set_up")), "cores"),
+            worked(standing_memory(m, connections_per_proxy()) * 1e-9, "GB"),
             "admission: BUSY with a retry-after",
         ),
     ]
@@ -256,6 +268,44 @@
     )
 
 
+def gossip_days(_: Measurements, __: dict[str, Any]) -> str:
+    """What one member sends plus receives for each event, with the mechanism that is being built."""
+    zone = PROXIES // ZONES
+
+    def passed_on(updates: float) -> Range:
+        """Bytes of so many updates, each passed on by every member and heard as often."""
+        return exactly(2.0 * retransmissions(PROXIES) * updates)
+
+    def row(what: str, cost: Range, carried: str) -> tuple[str, ...]:
+        return (what, worked(cost * 1e-3, "KB"), worked(cost / BYTES_BUDGET, "s"), carried)
+
+    death = 2.0 * STATUS_UPDATE  # suspected, then dead
+    replaced = 2.0 * MEMBER_UPDATE  # left, then there again
+    burst = Range(*(50 * change_bytes(size) for size in CHANGE_BYTES))
+    rows = [
+        row("a second of an ordinary day", swim_bytes(PROXIES), "probes, sums, the day's changes"),
+        row("a second at peak", swim_bytes(PROXIES), "the same: connections are only summed"),
+        row("a machine fails", passed_on(death), "probe, indirect probes, suspicion, broadcast"),
+        row("this proxy restarts", whole_member_table(PROXIES), "whole member table, then a snapshot"),
+        row(f"a rack of {RACK_PROXIES} (a) fails", passed_on(RACK_PROXIES * death), "the same, side by side"),
+        row(
+            "restart wave of a zone", passed_on(zone * replaced), "left and joined again, paced by the budget"
+        ),
+        row(
+            "a zone lost", passed_on(zone / 5 * STATUS_UPDATE), "suspicions held once a fifth (a) is suspect"
+        ),
+        row("regions cut from each other, two zones", passed_on(2 * zone / 5 * STATUS_UPDATE), "the same"),
+        row("healing", whole_member_table(PROXIES) * 2, "comparison of tables, at most all of it both ways"),
+        row(
+            "readers of a lost zone come back", swim_bytes(PROXIES), "as any second: no word for a connection"
+        ),
+        row("a burst of 50 (a) changes", burst, "announce and fetch"),
+    ]
+    return table(
+        ("proxy: control (gossip, to be)", "sent plus received", "of the budget", "carried by"), rows
+    )
+
+
 def push_servers(m: Measurements, _: dict[str, Any]) -> str:
     each = CONNECTIONS / PUSH_SERVERS
     rows = [
@@ -311,7 +361,7 @@
             "changes of configuration, to be",
             worked(CHANGES_A_DAY / DAY * 60, "calls/minute"),
             "one call a change",
-            "the publisher's admin address",
+            "a control member's admin address",
         ),
         (
             "who lacks a change, to be",
@@ -333,6 +383,7 @@
     "data-path-days": data_path_days,
     "control-days": control_days,
     "control-machines": control_machines,
+    "gossip-days": gossip_days,
     "push-servers": push_servers,
     "tools": tools,
 }
--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -48,7 +48,7 @@
     mesh_bytes,
     mesh_cpu,
     mesh_memory,
-    mesh_per_connection,
+    mesh_sent_per_connection,
     ordinary_cores,
     processes,
     returning,
@@ -74,7 +74,9 @@
 
 
 def gossip_figure(scale: dict[str, Any], key: str, unit: str, factor: float = 1.0) -> str:
-    return measured(scale[key] * factor, unit) if key in scale else NOT_MEASURED
+    """From the scale run, where it has been made and gave one."""
+    value = scale.get(key)
+    return NOT_MEASURED if value is None else measured(value * factor, unit)
 
 
 def summary(m: Measurements, scale: dict[str, Any]) -> str:
@@ -281,12 +283,22 @@
             assumed(12, "KB"),
             measured(m.slope("connection_memory_control"), "KB"),
         ),
-        ("a line there and back", assumed(Range(0.37, 0.59), "ms"), measured(m.slope("line_trip"), "ms")),
+        (
+            "a line there and back, one at a time",
+            assumed(Range(0.37, 0.59), "ms"),
+            measured(m.slope("line_alone"), "ms"),
+        ),
         (
             "the same, bare pass-through",
             assumed(Range(0.16, 0.25), "ms"),
-            measured(m.slope("line_trip_control"), "ms"),
+            measured(m.slope("line_alone_control"), "ms"),
         ),
+        (
+            "a line there and back, on 100 (a) connections at once",
+            "none",
+            measured(m.slope("line_trip"), "ms"),
+        ),
+        ("the same, bare pass-through", "none", measured(m.slope("line_trip_control"), "ms")),
         ("a set-up", assumed(Range(1.9, 2.2), "ms"), measured(m.slope("set_up"), "ms")),
         (
             "the same, bare pass-through",
@@ -345,6 +357,7 @@
             (
                 assumed(size, "proxies"),
                 worked(mesh_bytes(m, size) * 1e-3, "KB/s"),
+                gossip_figure(scale, f"mesh_{key}_control_bytes_per_s_max", "KB/s", 1e-3),
                 gossip_figure(scale, f"{key}_control_bytes_per_s_max", "KB/s", 1e-3),
                 gossip_figure(scale, f"{key}_control_cpu_share_max", "%", 100.0),
                 gossip_figure(scale, f"{key}_control_memory_mb_max", "MB"),
@@ -356,6 +369,7 @@
         (
             "fleet",
             "today's mesh",
+            "today's mesh in the scale run, largest of all proxies",
             "gossip: sent plus received",
             "gossip: CPU",
             "gossip: memory",
@@ -374,6 +388,11 @@
         ("standing connections", worked(connections, "a machine"), "44 million (a) over 490 (a)"),
         ("deliveries, lines one way", worked(one_way, "cores"), "`delivery` at 20,400/s (w)"),
         ("deliveries, each answered by the client", worked(answered, "cores"), "`line_trip` at 20,400/s (w)"),
+        (
+            "the same, one line at a time",
+            worked(cores(deliveries, m.slope("line_alone")), "cores"),
+            "`line_alone` at 20,400/s (w)",
+        ),
         (
             "standing still",
             worked(m.slope("connection_idle") * connections * 1e-3, "cores"),
@@ -575,7 +594,7 @@
         ),
         (
             "bytes to and from one proxy for one new connection at each",
-            worked(mesh_per_connection(m, "mesh_sent_crowd") * 2e3 * peers * 1e-3, "KB"),
+            worked(mesh_sent_per_connection(m) * (2 * peers), "KB"),
             "none",
         ),
         ("messages, mean life 1 h (a)", worked(mesh_bytes(m, PROXIES, rate) * 1e-3, "KB/s"), "none"),
--- a/benchmarks/scale_weighing.py
+++ b/benchmarks/scale_weighing.py
@@ -41,6 +41,7 @@
 PING, ACK, GOSSIP, SYNC, SYNC_REPLY, FETCH, TALLY = 65, 57, 53, 317, 54, 60, 67
 QUORUM_MESSAGE, CHANGE_OVERHEAD = 62, 76  # of a vote; of a datagram with one change, around its writes
 STATUS_UPDATE, MEMBER_UPDATE, ZONE_SUM = 13, 40, 20
+MAX_DATAGRAM_BYTES = 1_200
 GOSSIP_RATE = 15.0  # datagrams a second at most: one in 0.2 s to each of 3 members
 SYNC_INTERVAL = 10.0
 ANNOUNCE_FANOUT = 4
@@ -83,6 +84,12 @@
     return Range(0.0, most) + (probe_bytes() + updates + sync + tally) + configuration_bytes()
 
 
+def whole_member_table(members: int) -> Range:
+    """Bytes of all records, in datagrams as full as may be."""
+    each = (MAX_DATAGRAM_BYTES - SYNC_REPLY) // MEMBER_UPDATE
+    return exactly(float(members * MEMBER_UPDATE + math.ceil(members / each) * (SYNC_REPLY + PACKET_BYTES)))
+
+
 def swim_datagrams() -> Range:
     """Sent plus received a second."""
     return Range(4.0 + 2.0, 4.0 + 2.0 + 2 * GOSSIP_RATE)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -144,6 +144,13 @@
     assert near(model.mesh_at(m, "mesh_sent", 101, rate + 1), 22.725 + 90, 27.775 + 110)
 
 
+def test_bytes_of_new_connections_are_at_least_those_of_their_records() -> None:
+    m, rate = mesh_of(messages=0.0), model.CASA_MAIN_RATE
+    fresh = model.shards_held(model.connections_per_proxy()) / model.connections_per_proxy()
+    assert near(model.mesh_sent(m, 101, rate), 22.725, 27.775)
+    assert near(model.mesh_sent(m, 101, rate + 1), 22.725 + 100 * 0.018 * fresh, 27.775 + 110)
+
+
 def test_messages_of_the_mesh_are_bounded_by_its_pace() -> None:
     few, many = mesh_of(messages=5.0), mesh_of(messages=50.0)
     assert near(model.mesh_messages(few, 101, model.CASA_MAIN_RATE), 454.5, 555.5)
@@ -240,8 +247,12 @@
 
 
 def test_the_scale_run_fills_its_columns(measurements: Measurements) -> None:
-    scale = {f"n{size}_{key}": 1.5 for size in (30, 60, 120, 245, 490, 980) for key in SCALE_KEYS}
+    sizes = (30, 60, 120, 245, 490, 980)
+    scale: dict[str, float | None] = {f"n{size}_{key}": 1.5 for size in sizes for key in SCALE_KEYS}
+    scale |= {f"mesh_n{size}_control_bytes_per_s_max": 1_500.0 for size in sizes}
     empty, filled = tables.gossip(measurements, {}), tables.gossip(measurements, scale)
     assert tables.NOT_MEASURED in empty
     assert tables.NOT_MEASURED not in filled
     assert not [figure for line in table_lines(filled) for figure in unmarked(line)]
+    unknown = tables.gossip(measurements, scale | {"n490_after_cut_agree_s_max": None})
+    assert unknown.count(tables.NOT_MEASURED) == 1
