Capacity: what connections cost that stand still is in the cores of every row

Need: standing still is a cost of its own at 89,800 connections, and the sums left it out. Change: busy_cores sums lines, set-ups and standing connections; all rows of the data path use it.

--- a/benchmarks/capacity_model.py
+++ b/benchmarks/capacity_model.py
@@ -204,9 +204,14 @@
     return LARGEST_TOPIC / PROXIES
 
 
+def busy_cores(m: Measurements, connections: float, deliveries: float, set_ups: float) -> Range:
+    """What one machine's connections, lines one way and set-ups (both a second) keep busy."""
+    standing = cores(connections, m.slope("connection_idle"))
+    return cores(deliveries, m.slope("delivery")) + cores(set_ups, m.slope("set_up")) + standing
+
+
 def ordinary_cores(m: Measurements, life: float) -> Range:
-    """Deliveries as lines one way, and the set-ups."""
-    return cores(deliveries_per_proxy(), m.slope("delivery")) + cores(arrivals(life), m.slope("set_up"))
+    return busy_cores(m, connections_per_proxy(), deliveries_per_proxy(), arrivals(life))
 
 
 def all_cores(m: Measurements) -> Range:
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -27,8 +27,8 @@
     Measurements,
     Range,
     arrivals,
+    busy_cores,
     connections_per_proxy,
-    cores,
     deliveries_per_proxy,
     exactly,
     mesh_bytes,
@@ -63,7 +63,7 @@
         """So many more connections, which come within so many seconds, beside an ordinary day of 1 h."""
         rate = arrivals(hour) + more / over_seconds
         share = 1 + more / connections_per_proxy()
-        busy = cores(deliveries * share, m.slope("delivery")) + cores(rate, m.slope("set_up"))
+        busy = busy_cores(m, connections_per_proxy() + more, deliveries * share, rate)
         return (
             what,
             worked(deliveries * share, "lines out/s"),
@@ -134,7 +134,7 @@
             "the zone is back and all its readers return to its proxies within 60 s (a)",
             worked(deliveries, "lines out/s"),
             worked(refill, "set-ups/s"),
-            worked(cores(deliveries, m.slope("delivery")) + cores(refill, m.slope("set_up")), "cores"),
+            worked(busy_cores(m, connections_per_proxy(), deliveries, refill), "cores"),
             worked(standing_memory(m, connections_per_proxy()) * 1e-9, "GB"),
             "admission: BUSY with a retry-after",
         ),
--- a/benchmarks/capacity_tables.py
+++ b/benchmarks/capacity_tables.py
@@ -418,7 +418,11 @@
                 worked(setting_up, "cores"),
                 f"`set_up` at {worked(arrivals(seconds), '/s')}",
             ),
-            (f"all, at a mean life of {life} (a)", worked(busy, "cores"), "deliveries one way and set-ups"),
+            (
+                f"all, at a mean life of {life} (a)",
+                worked(busy, "cores"),
+                "deliveries one way, set-ups, and standing still",
+            ),
             (
                 f"processes a machine, at a mean life of {life} (a)",
                 worked(processes(busy), "processes"),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -116,6 +116,12 @@
     assert model.processes(Range(0.5, 2.0)) == Range(1, 4)
 
 
+def test_busy_cores_sum_lines_set_ups_and_standing_still() -> None:
+    each = straight((1, 2, 5), 0.0, 1.0)
+    m = kept(connection_idle=each, delivery=each, set_up=each)
+    assert near(model.busy_cores(m, 1_000, 2_000, 3_000), 5.4, 6.6)
+
+
 def test_what_a_loss_brings_to_the_others_is_what_was_lost() -> None:
     lost = 98
     left = model.PROXIES - lost
