--- /dev/null
+++ b/saltcourse/gossip/configuration.py
@@ -0,0 +1,249 @@
+"""The versioned configuration of one member: keys and values, the log of changes, and checkpoints.
+
+Committed changes are one sequence. A change is applied only on the version directly before it, whole; a
+checkpoint of a later version replaces everything, whole. Nothing else changes the state, so it is the same
+at all members that are at the same ``Position``.
+
+Memory: at most ``MAX_CONFIGURATION_BYTES`` of values, ``MAX_LOG_CHANGES`` changes of ``MAX_CHANGE_BYTES``
+and ``CHECKPOINTS_KEPT`` checkpoints of ``MAX_CONFIGURATION_BYTES``.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from saltcourse.gossip.codec import CodecError, change_size, decode_configuration, encode_configuration
+from saltcourse.gossip.messages import (
+    MAX_CONFIGURATION_BYTES,
+    Change,
+    Position,
+    ReplicaState,
+    Write,
+)
+
+CHECKPOINT_INTERVAL = 64  # versions; each one divisible by it is kept encoded
+CHECKPOINTS_KEPT = 2  # the newest
+MAX_LOG_CHANGES = CHECKPOINT_INTERVAL * CHECKPOINTS_KEPT  # never fewer than since the older checkpoint
+ITEM_OVERHEAD_BYTES = 8  # a bound on what an encoded key and value take beside their own bytes
+DIGEST_BYTES = 8
+
+
+class Relation(Enum):
+    """How a position lies to this member's own."""
+
+    AHEAD = auto()  # later in the same sequence
+    KNOWN = auto()  # this one, or an earlier one
+    STALE_EPOCH = auto()  # a higher version of an epoch that ended before this member's position
+    CONFLICT = auto()  # of another sequence: this member has passed the version with another position
+
+
+class Outcome(Enum):
+    """What became of a change or checkpoint. Nothing but ``APPLIED`` alters the state."""
+
+    APPLIED = auto()
+    DUPLICATE = auto()
+    GAP = auto()  # changes before it are missing
+    STALE_EPOCH = auto()
+    CONFLICT = auto()
+    TOO_LARGE = auto()  # the change, or the configuration with it
+    INVALID = auto()  # a checkpoint that is not the canonical form of a configuration
+
+
+def digest_of(data: bytes) -> int:
+    """64 bits."""
+    return int.from_bytes(hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest(), "big")
+
+
+@dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """A whole configuration in its canonical encoded form: the same bytes at each member."""
+
+    position: Position
+    data: bytes
+    digest: int
+
+    @classmethod
+    def of(cls, position: Position, data: bytes) -> Checkpoint:
+        return cls(position, data, digest_of(data))
+
+
+class Configuration(Mapping[str, bytes]):
+    """Read it as a mapping of keys to values; ``position`` says which version it is."""
+
+    def __init__(self) -> None:
+        self.position = Position()
+        self._values: dict[str, bytes] = {}
+        self._size_bound = 0  # never below the encoded size
+        self._log: deque[Change] = deque(maxlen=MAX_LOG_CHANGES)
+        self._log_base = Position()  # the position on which the first change of the log was applied
+        self._checkpoints: deque[Checkpoint] = deque(maxlen=CHECKPOINTS_KEPT)
+        self._changed_keys: set[str] = set()
+
+    # ---- reading ------------------------------------------------------------------------------------
+
+    def __getitem__(self, key: str) -> bytes:
+        return self._values[key]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._values)
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    @property
+    def newest_checkpoint(self) -> Checkpoint | None:
+        return self._checkpoints[-1] if self._checkpoints else None
+
+    def checkpoint_at(self, position: Position) -> Checkpoint | None:
+        for checkpoint in self._checkpoints:
+            if checkpoint.position == position:
+                return checkpoint
+        return None
+
+    def position_at(self, version: int) -> Position | None:
+        """``None`` when the log does not go back to ``version``, or it is still to come."""
+        if version == self.position.version:
+            return self.position
+        if version == self._log_base.version:
+            return self._log_base
+        for change in self._log:
+            if change.position.version == version:
+                return change.position
+        return None
+
+    def relate(self, position: Position) -> Relation:
+        mine = self.position
+        if position == mine:
+            return Relation.KNOWN
+        if position.version > mine.version:
+            return Relation.AHEAD if position.epoch >= mine.epoch else Relation.STALE_EPOCH
+        known = self.position_at(position.version)
+        if known is not None:
+            return Relation.KNOWN if position == known else Relation.CONFLICT
+        return Relation.KNOWN if position.epoch <= self._log_base.epoch else Relation.CONFLICT
+
+    def changes_after(self, version: int) -> list[Change] | None:
+        """In order; ``None`` when the log does not go back that far."""
+        if version < self._log_base.version:
+            return None
+        return [change for change in self._log if change.position.version > version]
+
+    def take_changed_keys(self) -> tuple[str, ...]:
+        """Keys that were written or deleted since the last call, in order."""
+        keys = tuple(sorted(self._changed_keys))
+        self._changed_keys.clear()
+        return keys
+
+    def figures(self) -> dict[str, int]:
+        return {
+            "epoch": self.position.epoch,
+            "version": self.position.version,
+            "keys": len(self._values),
+            "log_changes": len(self._log),
+            "checkpoint_bytes": sum(len(checkpoint.data) for checkpoint in self._checkpoints),
+        }
+
+    # ---- changing -----------------------------------------------------------------------------------
+
+    def judge(self, change: Change) -> Outcome:
+        """What ``apply`` would do with it."""
+        relation = self.relate(change.position)
+        if relation is Relation.KNOWN:
+            return Outcome.DUPLICATE
+        if relation is Relation.STALE_EPOCH:
+            return Outcome.STALE_EPOCH
+        if relation is Relation.CONFLICT:
+            return Outcome.CONFLICT
+        if change.position.version != self.position.version + 1:
+            return Outcome.GAP
+        return Outcome.APPLIED if self._fits(change) else Outcome.TOO_LARGE
+
+    def apply(self, change: Change) -> Outcome:
+        outcome = self.judge(change)
+        if outcome is not Outcome.APPLIED:
+            return outcome
+        for key, value in change.writes:
+            self._write(key, value)
+        if len(self._log) == MAX_LOG_CHANGES:
+            self._log_base = self._log[0].position
+        self._log.append(change)
+        self.position = change.position
+        if self.position.version % CHECKPOINT_INTERVAL == 0:
+            self._keep_checkpoint()
+        return outcome
+
+    def load(self, checkpoint: Checkpoint) -> Outcome:
+        """Replace everything by a checkpoint of a later version. The log begins anew behind it."""
+        relation = self.relate(checkpoint.position)
+        if relation is Relation.KNOWN:
+            return Outcome.DUPLICATE
+        if relation is Relation.STALE_EPOCH:
+            return Outcome.STALE_EPOCH
+        if relation is Relation.CONFLICT:
+            return Outcome.CONFLICT
+        try:
+            values = decode_configuration(checkpoint.data)
+        except CodecError:
+            return Outcome.INVALID
+        self._replace(checkpoint.position, values)
+        self._checkpoints.append(checkpoint)
+        return Outcome.APPLIED
+
+    def restore(self, state: ReplicaState) -> None:
+        """At a control member's start. Its position becomes a checkpoint, whatever its version: the log
+        before it is lost, and members with an empty configuration must be served also when all control
+        members have just restarted. ``ValueError`` when the state is too large to be encoded."""
+        if self.relate(state.committed) is not Relation.AHEAD:
+            return
+        self._replace(state.committed, dict(state.configuration))
+        self._keep_checkpoint()
+
+    def _fits(self, change: Change) -> bool:
+        try:
+            change_size(change)
+        except ValueError:
+            return False
+        growth = sum(_item_bound(key, value) for key, value in change.writes if value is not None)
+        if self._size_bound + growth <= MAX_CONFIGURATION_BYTES:
+            return True
+        return self._fits_exactly(change.writes)
+
+    def _fits_exactly(self, writes: tuple[Write, ...]) -> bool:
+        values: dict[str, bytes | None] = {**self._values, **dict(writes)}
+        try:
+            encode_configuration([(key, value) for key, value in values.items() if value is not None])
+        except ValueError:
+            return False
+        return True
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        previous = self._values.pop(key, None)
+        if previous is not None:
+            self._size_bound -= _item_bound(key, previous)
+        if value is not None:
+            self._values[key] = value
+            self._size_bound += _item_bound(key, value)
+        self._changed_keys.add(key)
+
+    def _replace(self, position: Position, values: dict[str, bytes]) -> None:
+        for key in self._values.keys() | values.keys():
+            if self._values.get(key) != values.get(key):
+                self._changed_keys.add(key)
+        self._values = values
+        self._size_bound = sum(_item_bound(key, value) for key, value in values.items())
+        self._log.clear()
+        self._log_base = position
+        self._checkpoints.clear()
+        self.position = position
+
+    def _keep_checkpoint(self) -> None:
+        data = encode_configuration(self._values.items())
+        self._checkpoints.append(Checkpoint.of(self.position, data))
+
+
+def _item_bound(key: str, value: bytes) -> int:
+    return ITEM_OVERHEAD_BYTES + len(key.encode()) + len(value)
--- /dev/null
+++ b/saltcourse/gossip/sources.py
@@ -0,0 +1,61 @@
+"""Members that announced a higher version than this member's: whom to ask for it.
+
+At most ``MAX_SOURCES`` are remembered, those heard last; a claim that is not repeated expires. So a claim
+that nobody can satisfy is forgotten.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from saltcourse.gossip.messages import Address, Position
+
+MAX_SOURCES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    position: Position
+    expires: float
+
+
+class Sources:
+    def __init__(self, lifetime: float, random: Random) -> None:
+        """``lifetime``: seconds for which a claim counts when it is not repeated."""
+        self._lifetime = lifetime
+        self._random = random
+        self._claims: dict[Address, Claim] = {}  # in the order in which they were last heard
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def note(self, now: float, address: Address, position: Position) -> None:
+        self._claims.pop(address, None)
+        self._claims[address] = Claim(position, now + self._lifetime)
+        if len(self._claims) > MAX_SOURCES:
+            del self._claims[next(iter(self._claims))]
+
+    def prune(self, now: float, is_ahead: Callable[[Position], bool]) -> None:
+        """Forget claims that expired, or that this member has caught up with."""
+        if not self._claims:
+            return
+        self._claims = {
+            address: claim
+            for address, claim in self._claims.items()
+            if now < claim.expires and is_ahead(claim.position)
+        }
+
+    def position_of(self, address: Address) -> Position | None:
+        claim = self._claims.get(address)
+        return claim.position if claim is not None else None
+
+    def choose(self, exclude: Address | None) -> Address | None:
+        """A random one of them, ``exclude`` left out."""
+        addresses = [address for address in self._claims if address != exclude]
+        return self._random.choice(addresses) if addresses else None
+
+    def next_deadline(self) -> float:
+        """When the first claim expires."""
+        return min((claim.expires for claim in self._claims.values()), default=float("inf"))
--- /dev/null
+++ b/tests/gossip_fleet.py
@@ -0,0 +1,290 @@
+"""A fleet of members that disseminate configuration changes over the simulated network, with a checker.
+
+The fleet keeps the sequence of committed changes itself, and holds every member's state against it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from saltcourse.emulator.simnet import Host, Link, Network
+from saltcourse.gossip.codec import Codec
+from saltcourse.gossip.configuration import Configuration
+from saltcourse.gossip.dissemination import Dissemination
+from saltcourse.gossip.messages import (
+    PACKET_OVERHEAD_BYTES,
+    Ack,
+    Address,
+    Applied,
+    Change,
+    Changes,
+    Fetch,
+    Freshness,
+    FreshnessChanged,
+    Header,
+    Heartbeat,
+    MemberRecord,
+    Message,
+    Ping,
+    Position,
+    ReplicaState,
+    Role,
+    Send,
+    SnapshotFetch,
+    SnapshotPart,
+    Write,
+    member_id,
+)
+from saltcourse.gossip.settings import Timing
+
+CONFIGURATION_MESSAGES = (Fetch, Changes, SnapshotFetch, SnapshotPart)
+
+
+class Violation(Exception):
+    """A member broke a rule of the configuration."""
+
+
+@dataclass(frozen=True)
+class Datagram:
+    source: Address
+    header: Header
+    message: Message
+    size: int
+
+
+@dataclass(frozen=True)
+class Commit:
+    change: Change
+
+
+@dataclass(frozen=True)
+class Beat:
+    heartbeat: Heartbeat
+
+
+class TickEvent:
+    pass
+
+
+class ProbeEvent:
+    pass
+
+
+def address_of(index: int) -> Address:
+    return f"10.0.{index // 250}.{index % 250 + 1}", 7000
+
+
+def record_of(index: int) -> MemberRecord:
+    return MemberRecord(f"m{index}", address_of(index), "r", "z", Role.PROXY, 0, index)
+
+
+@dataclass
+class Member:
+    """One process: replaced when the host starts anew."""
+
+    record: MemberRecord
+    dissemination: Dissemination
+    last_applied: Position = Position()
+    freshness: list[tuple[float, Freshness]] = field(default_factory=list)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    received_changes: Counter[Position] = field(default_factory=Counter)
+    received_types: Counter[str] = field(default_factory=Counter)
+
+
+class Fleet:
+    """``count`` members, of whom the first ``voters`` are told of commits by the fleet itself."""
+
+    def __init__(
+        self,
+        seed: int,
+        count: int,
+        *,
+        link: Link | None = None,
+        voters: int = 3,
+        timing: Timing | None = None,
+        configuration: Callable[[], Configuration] = Configuration,
+        probes: bool = True,
+    ) -> None:
+        self.random = Random(seed)
+        self.timing = timing or Timing()
+        self.records = [record_of(index) for index in range(count)]
+        self.index = {record.address: index for index, record in enumerate(self.records)}
+        hosts = [Host(record.name, offset=self.random.uniform(1.0, 1e6)) for record in self.records]
+        self.hosts = hosts
+        self.net = Network(seed, hosts, link or Link(), self._deliver, TickEvent())
+        self.voters = voters
+        self.members: dict[str, Member] = {}
+        self.history: dict[Position, dict[str, bytes]] = {Position(): {}}
+        self.position = Position()
+        self.epoch = 1
+        self.heartbeat = Heartbeat()
+        self.commit_loss = 0.0  # share of the voters that miss a commit
+        self._make_configuration = configuration
+        self._codec = Codec(b"k" * 32)
+        self._probes = probes
+
+    # ---- what the test does ---------------------------------------------------------------------------
+
+    def start(self, index: int) -> Member:
+        host = self.hosts[index]
+        assert not host.alive
+        host.alive = True
+        random = Random(self.random.random())
+        others = [record for record in self.records if record.name != host.name]
+        dissemination = Dissemination(
+            self.timing, random, lambda count: random.sample(others, min(count, len(others)))
+        )
+        dissemination.configuration = self._make_configuration()
+        member = Member(self.records[index], dissemination)
+        self.members[host.name] = member
+        if host.disk is not None:
+            dissemination.restore(host.clock(self.net.now), host.disk)
+            self._check(host, member)
+        if self._probes:
+            self._schedule_probe(host, host.life, self.random.random())
+        self._set_timer(host, member)
+        return member
+
+    def start_all(self) -> None:
+        for index in range(len(self.hosts)):
+            self.start(index)
+
+    def crash(self, index: int) -> None:
+        """A voter keeps what it has on its disk, the others nothing."""
+        host = self.hosts[index]
+        if index < self.voters:
+            dissemination = self.members[host.name].dissemination
+            items = tuple(sorted(dissemination.configuration.items()))
+            host.disk = ReplicaState(committed=dissemination.position, configuration=items)
+        self.net.crash(host, keeps_disk=index < self.voters)
+
+    def publish(self, *writes: Write) -> Change:
+        """Commit a change at the voters; one of them always learns of it."""
+        self.position = Position(self.epoch, self.position.version + 1)
+        change = Change(self.position, writes)
+        values: dict[str, bytes | None] = {**self.history[max(self.history)], **dict(writes)}
+        self.history[self.position] = {key: value for key, value in values.items() if value is not None}
+        awake = [host for host in self.hosts[: self.voters] if host.alive and not host.stopped]
+        sure = self.random.choice(awake)
+        for host in self.hosts[: self.voters]:
+            if host is sure or self.random.random() >= self.commit_loss:
+                self.net.give(host, Commit(change))
+        return change
+
+    def beat(self) -> None:
+        """The publisher is the first voter that runs."""
+        self.heartbeat = Heartbeat(self.epoch, self.heartbeat.count + 1)
+        for host in self.hosts[: self.voters]:
+            if host.alive and not host.stopped:
+                self.net.give(host, Beat(self.heartbeat))
+                return
+
+    def beat_every(self, interval: float, until: float) -> None:
+        def beat() -> None:
+            self.beat()
+            if self.net.now + interval <= until:
+                self.net.at(self.net.now + interval, beat)
+
+        self.net.at(self.net.now, beat)
+
+    def isolate(self, group: set[int]) -> None:
+        """Cut the members of ``group`` off from all others, both ways."""
+        for one in group:
+            for other in set(range(len(self.hosts))) - group:
+                self.net.cut(self.hosts[one].name, self.hosts[other].name)
+
+    def live(self) -> list[Member]:
+        return [self.members[host.name] for host in self.hosts if host.alive]
+
+    def agreed(self) -> bool:
+        return all(member.dissemination.position == self.position for member in self.live())
+
+    # ---- what members do --------------------------------------------------------------------------------
+
+    def _schedule_probe(self, host: Host, life: int, delay: float) -> None:
+        def probe() -> None:
+            if host.life == life:
+                if not host.stopped:
+                    self.net.give(host, ProbeEvent())
+                self._schedule_probe(host, life, self.timing.probe_interval)
+
+        self.net.at(self.net.now + delay, probe)
+
+    def _deliver(self, host: Host, event: object) -> None:
+        member = self.members[host.name]
+        now = host.clock(self.net.now)
+        sends = self._handle(now, member, event)
+        if now >= member.dissemination.next_deadline():
+            sends += member.dissemination.tick(now)
+        self._check(host, member)
+        for send in sends:
+            self._send(host, member, send)
+        self._set_timer(host, member)
+
+    def _handle(self, now: float, member: Member, event: object) -> list[Send]:
+        dissemination = member.dissemination
+        if isinstance(event, Datagram):
+            return self._receive(now, member, event)
+        if isinstance(event, Commit):
+            return dissemination.commit(now, event.change)
+        if isinstance(event, Beat):
+            dissemination.beat(now, event.heartbeat)
+        if isinstance(event, ProbeEvent):
+            target = self.random.choice([record for record in self.records if record != member.record])
+            return [Send(target.address, Ping(1, target.id))]
+        return []
+
+    def _receive(self, now: float, member: Member, datagram: Datagram) -> list[Send]:
+        member.received_bytes += datagram.size
+        member.received_types[type(datagram.message).__name__] += 1
+        message = datagram.message
+        sends = member.dissemination.observe(now, datagram.source, datagram.header)
+        if isinstance(message, Ping):
+            sends.append(Send(datagram.source, Ack(message.sequence)))
+        if isinstance(message, Changes):
+            member.received_changes.update(change.position for change in message.changes)
+        if isinstance(message, CONFIGURATION_MESSAGES):
+            sends += member.dissemination.handle(now, datagram.source, datagram.header, message)
+        return sends
+
+    def _send(self, host: Host, member: Member, send: Send) -> None:
+        record = member.record
+        dissemination = member.dissemination
+        header = Header(
+            member_id(record.name), 0, record.process, dissemination.position, dissemination.heartbeat
+        )
+        size = len(self._codec.encode(header, send.message)) + PACKET_OVERHEAD_BYTES
+        member.sent_bytes += size
+        receiver = self.hosts[self.index[send.destination]].name
+        self.net.send(host.name, receiver, Datagram(record.address, header, send.message, size))
+
+    def _set_timer(self, host: Host, member: Member) -> None:
+        self.net.set_timer(host, member.dissemination.next_deadline())
+
+    # ---- the checker ------------------------------------------------------------------------------------
+
+    def _check(self, host: Host, member: Member) -> None:
+        dissemination = member.dissemination
+        for action in dissemination.take_actions():
+            if isinstance(action, Applied):
+                self._check_applied(host, member, action)
+            if isinstance(action, FreshnessChanged):
+                member.freshness.append((self.net.now, action.freshness))
+
+    def _check_applied(self, host: Host, member: Member, action: Applied) -> None:
+        if action.position <= member.last_applied or action.position.version <= member.last_applied.version:
+            raise Violation(f"{host.name} went from {member.last_applied} to {action.position}")
+        expected = self.history.get(action.position)
+        if expected is None:
+            raise Violation(f"{host.name} is at {action.position}, which was never committed")
+        if dict(member.dissemination.configuration) != expected:
+            raise Violation(f"{host.name} has another configuration at {action.position}")
+        before = self.history[member.last_applied]
+        differing = {key for key in before.keys() | expected.keys() if before.get(key) != expected.get(key)}
+        if not differing <= set(action.changed):
+            raise Violation(f"{host.name} did not tell all changed keys at {action.position}")
+        member.last_applied = action.position
