--- a/saltcourse/gossip/configuration.py
+++ b/saltcourse/gossip/configuration.py
@@ -30,6 +30,7 @@
 MAX_LOG_CHANGES = CHECKPOINT_INTERVAL * CHECKPOINTS_KEPT  # never fewer than since the older checkpoint
 ITEM_OVERHEAD_BYTES = 8  # a bound on what an encoded key and value take beside their own bytes
 DIGEST_BYTES = 8
+MAX_VERSION = 2**32 - 1  # of a position on the wire
 
 
 class Relation(Enum):
@@ -126,6 +127,9 @@
             return Relation.KNOWN if position == known else Relation.CONFLICT
         return Relation.KNOWN if position.epoch <= self._log_base.epoch else Relation.CONFLICT
 
+    def is_ahead(self, position: Position) -> bool:
+        return self.relate(position) is Relation.AHEAD
+
     def changes_after(self, version: int) -> list[Change] | None:
         """In order; ``None`` when the log does not go back that far."""
         if version < self._log_base.version:
@@ -203,6 +207,8 @@
         self._keep_checkpoint()
 
     def _fits(self, change: Change) -> bool:
+        if change.position.version > MAX_VERSION:
+            return False
         try:
             change_size(change)
         except ValueError:
--- a/saltcourse/gossip/freshness.py
+++ b/saltcourse/gossip/freshness.py
@@ -14,7 +14,7 @@
     def __init__(self, timing: Timing) -> None:
         self.heartbeat = Heartbeat()
         self._stale_after = timing.stale_after
-        self._fresh_until: float | None = None  # None: no heartbeat since the start or since standing still
+        self._fresh_until: float | None = None  # None: stale
         self._distrust_until = float("-inf")
 
     def observe(self, now: float, heartbeat: Heartbeat, epoch: int) -> bool:
@@ -34,7 +34,9 @@
 
     def freshness(self, now: float, behind: bool) -> Freshness:
         """``STALE`` also where a higher version is known: there may be still higher ones."""
-        if self._fresh_until is None or now >= self._fresh_until:
+        if self._fresh_until is not None and now >= self._fresh_until:
+            self._fresh_until = None
+        if self._fresh_until is None:
             return Freshness.STALE
         return Freshness.BEHIND if behind else Freshness.CURRENT
 
--- a/saltcourse/gossip/snapshots.py
+++ b/saltcourse/gossip/snapshots.py
@@ -119,6 +119,8 @@
 
     def resume(self, now: float, source: Address) -> None:
         """After it was given up: ``source`` has the same snapshot."""
+        for offset in list(self._outstanding):
+            self._ask_again(offset)
         self.server = source
         self._failed_servers = 0
         self._next_request_at = now + self._interval
--- a/saltcourse/gossip/sources.py
+++ b/saltcourse/gossip/sources.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
+from saltcourse.gossip.configuration import Configuration
 from saltcourse.gossip.messages import Address, Position
 
 MAX_SOURCES = 8
@@ -37,14 +37,14 @@
         if len(self._claims) > MAX_SOURCES:
             del self._claims[next(iter(self._claims))]
 
-    def prune(self, now: float, is_ahead: Callable[[Position], bool]) -> None:
+    def prune(self, now: float, configuration: Configuration) -> None:
         """Forget claims that expired, or that this member has caught up with."""
         if not self._claims:
             return
         self._claims = {
             address: claim
             for address, claim in self._claims.items()
-            if now < claim.expires and is_ahead(claim.position)
+            if now < claim.expires and configuration.is_ahead(claim.position)
         }
 
     def position_of(self, address: Address) -> Position | None:
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -136,9 +136,11 @@
         random = Random(self.random.random())
         others = [record for record in self.records if record.name != host.name]
         dissemination = Dissemination(
-            self.timing, random, lambda count: random.sample(others, min(count, len(others)))
+            self.timing,
+            random,
+            lambda count: random.sample(others, min(count, len(others))),
+            self._make_configuration(),
         )
-        dissemination.configuration = self._make_configuration()
         member = Member(self.records[index], dissemination)
         self.members[host.name] = member
         if host.disk is not None:
--- /dev/null
+++ b/tests/test_gossip_configuration.py
@@ -0,0 +1,294 @@
+"""The configuration of one member: what is applied and what is refused, the log and the checkpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from saltcourse.gossip.codec import change_size, encode_configuration
+from saltcourse.gossip.configuration import (
+    CHECKPOINT_INTERVAL,
+    CHECKPOINTS_KEPT,
+    MAX_LOG_CHANGES,
+    Checkpoint,
+    Configuration,
+    Outcome,
+    Relation,
+)
+from saltcourse.gossip.messages import (
+    MAX_CHANGE_BYTES,
+    MAX_CONFIGURATION_BYTES,
+    Change,
+    Position,
+    ReplicaState,
+    Write,
+)
+
+HIGHEST = 2**32 - 1
+
+
+def change(epoch: int, version: int, *writes: Write) -> Change:
+    return Change(Position(epoch, version), writes or ((f"key{version % 10}", b"%d" % version),))
+
+
+def configuration_at(version: int, epoch: int = 1) -> Configuration:
+    configuration = Configuration()
+    for number in range(1, version + 1):
+        assert configuration.apply(change(epoch, number)) is Outcome.APPLIED
+    return configuration
+
+
+def state_of(configuration: Configuration) -> tuple[Position, dict[str, bytes], dict[str, int]]:
+    return configuration.position, dict(configuration), configuration.figures()
+
+
+# ---- changes -----------------------------------------------------------------------------------------
+
+
+def test_a_change_is_applied_whole_and_tells_the_keys_that_it_touched() -> None:
+    configuration = Configuration()
+    configuration.apply(change(1, 1, ("b", b"1"), ("a", b"2")))
+    assert configuration.take_changed_keys() == ("a", "b")
+    configuration.apply(change(1, 2, ("b", None), ("c", b""), ("absent", None)))
+    assert isinstance(configuration, Mapping)
+    assert dict(configuration) == {"a": b"2", "c": b""} and len(configuration) == 2
+    assert configuration["c"] == b"" and "b" not in configuration
+    assert configuration.take_changed_keys() == ("absent", "b", "c")
+    assert configuration.take_changed_keys() == ()
+
+
+@pytest.mark.parametrize(
+    ("position", "outcome"),
+    [
+        (Position(3, 11), Outcome.APPLIED),
+        (Position(4, 11), Outcome.APPLIED),  # the next publisher
+        (Position(HIGHEST, 11), Outcome.APPLIED),
+        (Position(3, 12), Outcome.GAP),
+        (Position(HIGHEST, HIGHEST), Outcome.GAP),
+        (Position(2, 11), Outcome.STALE_EPOCH),
+        (Position(0, HIGHEST), Outcome.STALE_EPOCH),
+        (Position(3, 10), Outcome.DUPLICATE),
+        (Position(3, 1), Outcome.DUPLICATE),
+        (Position(0, 0), Outcome.DUPLICATE),
+        (Position(4, 10), Outcome.CONFLICT),
+        (Position(2, 10), Outcome.CONFLICT),
+        (Position(2, 4), Outcome.CONFLICT),
+        (Position(HIGHEST, 1), Outcome.CONFLICT),
+        (Position(1, 0), Outcome.CONFLICT),
+    ],
+)
+def test_only_the_next_change_of_no_older_epoch_is_applied(position: Position, outcome: Outcome) -> None:
+    configuration = configuration_at(10, epoch=3)
+    before = state_of(configuration)
+    assert configuration.apply(Change(position, (("key", b"new"),))) is outcome
+    if outcome is Outcome.APPLIED:
+        assert configuration.position == position and configuration["key"] == b"new"
+    else:
+        assert state_of(configuration) == before
+
+
+def test_an_old_position_that_the_log_has_dropped_is_judged_by_its_epoch() -> None:
+    configuration = configuration_at(300, epoch=3)
+    assert configuration.relate(Position(3, 2)) is Relation.KNOWN
+    assert configuration.relate(Position(1, 2)) is Relation.KNOWN
+    assert configuration.relate(Position(4, 2)) is Relation.CONFLICT
+
+
+def test_a_change_that_is_too_long_or_has_no_binary_form_is_refused() -> None:
+    configuration = configuration_at(1)
+    before = state_of(configuration)
+    for writes in ((("k", bytes(MAX_CHANGE_BYTES)),), (("k" * 129, b""),), (("", b""),)):
+        assert configuration.apply(Change(Position(1, 2), writes)) is Outcome.TOO_LARGE
+    assert state_of(configuration) == before
+
+
+def test_the_configuration_is_bounded_exactly_by_its_encoded_size() -> None:
+    configuration = Configuration()
+    version = 0
+    while len(encode_configuration(configuration.items())) + 903 <= MAX_CONFIGURATION_BYTES:
+        version += 1
+        key = f"k{version:05}"
+        assert configuration.apply(change(1, version, (key, bytes(903 - 3 - 6)))) is Outcome.APPLIED
+    room = MAX_CONFIGURATION_BYTES - len(encode_configuration(configuration.items()))
+    next_version = version + 1
+    too_large = change(1, next_version, ("last", bytes(room - 3 - 4 + 1)))
+    assert configuration.apply(too_large) is Outcome.TOO_LARGE
+    assert configuration.apply(change(1, next_version, ("last", bytes(room - 3 - 4)))) is Outcome.APPLIED
+    assert len(encode_configuration(configuration.items())) == MAX_CONFIGURATION_BYTES
+    # Full, it can still be altered, and shrinks.
+    replaced = change(1, next_version + 1, ("k00001", None), ("k99999", bytes(800)))
+    assert configuration.apply(replaced) is Outcome.APPLIED
+
+
+# ---- log and checkpoints -----------------------------------------------------------------------------
+
+
+def test_the_log_is_bounded_and_reaches_back_to_the_older_checkpoint() -> None:
+    configuration = Configuration()
+    for version in range(1, 3 * MAX_LOG_CHANGES + 7):
+        configuration.apply(change(1, version))
+        figures = configuration.figures()
+        assert figures["log_changes"] == min(version, MAX_LOG_CHANGES)
+        older = max((version // CHECKPOINT_INTERVAL - 1) * CHECKPOINT_INTERVAL, 0)
+        changes = configuration.changes_after(older)
+        assert changes is not None
+        assert [one.position.version for one in changes] == list(range(older + 1, version + 1))
+        if version < CHECKPOINT_INTERVAL:
+            assert configuration.newest_checkpoint is None
+    first_kept = configuration.position.version - MAX_LOG_CHANGES
+    assert configuration.changes_after(first_kept) is not None
+    assert configuration.changes_after(first_kept - 1) is None
+    assert configuration.changes_after(configuration.position.version) == []
+    assert configuration.changes_after(HIGHEST) == []
+
+
+def test_the_newest_two_checkpoints_are_kept() -> None:
+    configuration = configuration_at(5 * CHECKPOINT_INTERVAL + 3)
+    for number in range(1, 6):
+        position = Position(1, number * CHECKPOINT_INTERVAL)
+        assert (configuration.checkpoint_at(position) is not None) == (number > 5 - CHECKPOINTS_KEPT)
+    newest = configuration.newest_checkpoint
+    assert newest is not None and newest.position == Position(1, 5 * CHECKPOINT_INTERVAL)
+
+
+def test_members_make_the_same_checkpoint_whatever_way_they_came_there() -> None:
+    by_changes = configuration_at(2 * CHECKPOINT_INTERVAL)
+    first = by_changes.checkpoint_at(Position(1, CHECKPOINT_INTERVAL))
+    assert first is not None
+    by_snapshot = Configuration()
+    assert by_snapshot.load(first) is Outcome.APPLIED
+    assert by_snapshot.newest_checkpoint == first  # it can serve it itself
+    for version in range(CHECKPOINT_INTERVAL + 1, 2 * CHECKPOINT_INTERVAL + 1):
+        by_snapshot.apply(change(1, version))
+    assert by_snapshot.newest_checkpoint == by_changes.newest_checkpoint
+    items = tuple(reversed(list(by_changes.items())))
+    by_restore = Configuration()
+    by_restore.restore(ReplicaState(committed=by_changes.position, configuration=items))
+    assert by_restore.newest_checkpoint == by_changes.newest_checkpoint
+
+
+def test_a_checkpoint_is_loaded_whole_and_the_log_begins_behind_it() -> None:
+    source = configuration_at(CHECKPOINT_INTERVAL)
+    checkpoint = source.newest_checkpoint
+    assert checkpoint is not None
+    configuration = Configuration()
+    configuration.apply(change(1, 1, ("gone", b"x"), ("key1", b"61")))
+    configuration.take_changed_keys()
+    assert configuration.load(checkpoint) is Outcome.APPLIED
+    assert dict(configuration) == dict(source) and configuration.position == source.position
+    assert set(configuration.take_changed_keys()) == {"gone", *source} - {"key1"}  # it is 61 in both
+    assert configuration.changes_after(1) is None
+    assert configuration.changes_after(CHECKPOINT_INTERVAL) == []
+    assert configuration.apply(change(1, CHECKPOINT_INTERVAL + 1)) is Outcome.APPLIED
+
+
+@pytest.mark.parametrize(
+    ("position", "outcome"),
+    [
+        (Position(3, 10), Outcome.DUPLICATE),
+        (Position(3, 9), Outcome.DUPLICATE),
+        (Position(2, 64), Outcome.STALE_EPOCH),
+        (Position(4, 10), Outcome.CONFLICT),
+        (Position(4, 9), Outcome.CONFLICT),
+        (Position(HIGHEST, HIGHEST), Outcome.APPLIED),
+    ],
+)
+def test_a_checkpoint_of_no_later_position_is_refused(position: Position, outcome: Outcome) -> None:
+    configuration = configuration_at(10, epoch=3)
+    before = state_of(configuration)
+    checkpoint = Checkpoint.of(position, encode_configuration([("a", b"1")]))
+    assert configuration.load(checkpoint) is outcome
+    assert (state_of(configuration) == before) == (outcome is not Outcome.APPLIED)
+
+
+def test_bytes_that_are_no_canonical_configuration_are_refused() -> None:
+    configuration = configuration_at(10)
+    before = state_of(configuration)
+    item = encode_configuration([("b", b"1")])
+    unsorted = item + encode_configuration([("a", b"1")])
+    for data in (item[:-1], unsorted, item + item, b"\xff" * 50, bytes(MAX_CONFIGURATION_BYTES + 1)):
+        assert configuration.load(Checkpoint.of(Position(1, 64), data)) is Outcome.INVALID
+        assert state_of(configuration) == before
+
+
+def test_a_member_at_the_highest_position_refuses_everything() -> None:
+    configuration = Configuration()
+    configuration.restore(ReplicaState(committed=Position(HIGHEST, HIGHEST)))
+    assert configuration.apply(change(HIGHEST, HIGHEST)) is Outcome.DUPLICATE
+    assert configuration.apply(change(HIGHEST, HIGHEST - 1)) is Outcome.DUPLICATE
+    assert configuration.apply(change(1, HIGHEST)) is Outcome.CONFLICT
+    # A version beyond 32 bits is none.
+    assert configuration.apply(change(HIGHEST, HIGHEST + 1)) is Outcome.TOO_LARGE
+
+
+# ---- restore -----------------------------------------------------------------------------------------
+
+
+def test_a_restored_member_has_a_checkpoint_at_once_and_goes_on_from_it() -> None:
+    items = (("a", b"1"), ("b", b"2"))
+    configuration = Configuration()
+    configuration.restore(ReplicaState(committed=Position(5, 100), configuration=items))
+    assert configuration.position == Position(5, 100) and dict(configuration) == dict(items)
+    assert configuration.take_changed_keys() == ("a", "b")
+    checkpoint = configuration.newest_checkpoint
+    assert checkpoint is not None and checkpoint.position == Position(5, 100)
+    assert configuration.changes_after(99) is None and configuration.changes_after(100) == []
+    assert configuration.apply(change(5, 101)) is Outcome.APPLIED
+    assert configuration.changes_after(100) == [change(5, 101)]
+
+
+def test_a_state_without_changes_and_an_older_one_restore_nothing() -> None:
+    configuration = Configuration()
+    configuration.restore(ReplicaState(promised=7))
+    assert configuration.position == Position() and configuration.newest_checkpoint is None
+    assert configuration.changes_after(0) == []
+    configuration = configuration_at(3)
+    before = state_of(configuration)
+    configuration.restore(ReplicaState(committed=Position(1, 2), configuration=(("a", b"1"),)))
+    assert state_of(configuration) == before
+
+
+# ---- any order of any changes ------------------------------------------------------------------------
+
+KEYS = st.sampled_from(["a", "b", "c", "d"])
+WRITES = st.lists(st.tuples(KEYS, st.none() | st.binary(max_size=4)), max_size=3).map(tuple)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    sequence=st.lists(st.tuples(st.booleans(), WRITES), min_size=1, max_size=100),
+    arrivals=st.lists(st.integers(0, 119), max_size=400),
+    strange=st.lists(st.builds(Position, st.integers(0, HIGHEST), st.integers(0, HIGHEST)), max_size=20),
+)
+def test_in_any_order_of_arrival_the_state_is_that_of_its_position(
+    sequence: list[tuple[bool, tuple[Write, ...]]], arrivals: list[int], strange: list[Position]
+) -> None:
+    epoch = 1
+    changes: list[Change] = []
+    states: dict[Position, dict[str, bytes]] = {Position(): {}}
+    values: dict[str, bytes] = {}
+    for new_epoch, writes in sequence:
+        epoch += new_epoch
+        changes.append(Change(Position(epoch, len(changes) + 1), writes))
+        for key, value in writes:
+            values.pop(key, None)
+            if value is not None:
+                values[key] = value
+        states[changes[-1].position] = dict(values)
+    configuration = Configuration()
+    for number, arrival in enumerate(arrivals):
+        before = configuration.position
+        offset = arrival if arrival >= 100 else before.version + arrival % 5 - 1
+        if 0 <= offset < len(changes):
+            outcome = configuration.apply(changes[offset])
+            assert (outcome is Outcome.APPLIED) == (offset == before.version)
+        if number < len(strange):
+            configuration.relate(strange[number])
+        assert configuration.position.version == before.version + (configuration.position != before)
+        assert dict(configuration) == states[configuration.position]
+    log = configuration.changes_after(0)
+    assert log == changes[: configuration.position.version]
+    assert all(change_size(one) <= MAX_CHANGE_BYTES for one in log)
