--- /dev/null
+++ b/saltcourse/gossip/zone_silence.py
@@ -0,0 +1,143 @@
+"""Tells a zone that cannot be reached from a heap of dead members.
+
+A zone is unreachable when nothing was heard of any of its members for ``zone_silence``, and there is more
+to it than a few dead ones: at least two members, and a fifth of the zone, are suspect or were declared dead
+since its last word; or ZONE_CHECKS members of it, chosen at random, left a Ping unanswered. These Pings go
+out only while two members of a silent zone are suspect: in a large fleet a small zone may well say nothing
+for a while. A member that hears nobody at all takes every zone for unreachable: it is cut off itself.
+
+Cost that grows with the number of zones: one record each of about 200 bytes; while suspicions stand, at most
+MAX_CHECKS_PER_TICK Pings each CHECK_INTERVAL.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from saltcourse.gossip.member_table import MemberTable
+from saltcourse.gossip.messages import MemberId, Status
+from saltcourse.gossip.settings import Timing
+
+SILENT_FRACTION = 5  # one in so many members of a zone
+SILENT_MEMBERS = 2
+ZONE_CHECKS = 6  # unanswered, in place of the fraction
+CHECK_INTERVAL = 0.5  # s, between looks at the zones that have suspects
+MAX_CHECKS_PER_TICK = 4  # zones
+CHECK_TRIES = 8  # random members looked at for one that is not suspect
+
+
+@dataclass(slots=True)
+class ZoneWatch:
+    """What is known of one zone besides its members."""
+
+    heard_at: float
+    checks: int = 0  # Pings sent since then
+    deaths: int = 0  # declared since then for want of an answer
+    reachable: bool = True
+
+
+class ZoneSilence:
+    def __init__(self, timing: Timing, source: random.Random, table: MemberTable) -> None:
+        self._silence = timing.zone_silence
+        self._random = source
+        self._table = table
+        self._zones: dict[str, ZoneWatch] = {}
+        self._heard_anyone_at = 0.0
+        self._evaluate_at = 0.0
+        self.unreachable: dict[str, None] = {}  # in the order in which they fell silent
+
+    def restart(self, now: float) -> None:
+        """At the start, and after a time in which this process did not run: silence until now is none."""
+        self._heard_anyone_at = now
+        for zone in self._zones.values():
+            zone.heard_at = now
+            zone.checks = 0
+
+    # ---- what is heard ----------------------------------------------------------------------------
+
+    def member_added(self, now: float, zone: str) -> None:
+        if zone not in self._zones:
+            self._zones[zone] = ZoneWatch(now)
+
+    def heard_anyone(self, now: float) -> None:
+        self._heard_anyone_at = now
+
+    def heard(self, now: float, name: str) -> bool:
+        """A live member of the zone is heard. Whether the zone has become reachable by it."""
+        zone = self._zones.get(name)
+        if zone is None:
+            return False
+        zone.heard_at = now
+        zone.checks = zone.deaths = 0
+        released = not zone.reachable
+        zone.reachable = True
+        self.unreachable.pop(name, None)
+        return released
+
+    def died(self, name: str) -> None:
+        """A suspect of the zone was declared dead."""
+        zone = self._zones.get(name)
+        if zone is not None:
+            zone.deaths += 1
+
+    def is_reachable(self, name: str) -> bool:
+        return name not in self.unreachable
+
+    def is_isolated(self, now: float) -> bool:
+        """Whether this member hears nobody at all."""
+        return len(self._table.live_ids) > 0 and now - self._heard_anyone_at > self._silence
+
+    # ---- time -------------------------------------------------------------------------------------
+
+    def evaluate(self, now: float) -> tuple[list[str], list[MemberId]]:
+        """Zones that have fallen silent, and members to be pinged to find out about others."""
+        if now < self._evaluate_at:
+            return [], []
+        self._evaluate_at = now + CHECK_INTERVAL
+        self._forget_empty()
+        isolated = self.is_isolated(now)
+        silent = []
+        checks: list[MemberId] = []
+        for name, zone in self._zones.items():
+            if not zone.reachable:
+                continue
+            if isolated or self._is_silent(now, name, zone):
+                silent.append(name)
+            elif self._is_doubtful(now, name, zone) and len(checks) < MAX_CHECKS_PER_TICK:
+                checks += self._choose_check(name, zone)
+        for name in silent:
+            self._zones[name].reachable = False
+            self.unreachable[name] = None
+        return silent, checks
+
+    def _is_silent(self, now: float, name: str, zone: ZoneWatch) -> bool:
+        if now - zone.heard_at <= self._silence:
+            return False
+        index = self._table.zones[name]
+        gone = len(index.suspects) + zone.deaths
+        if gone < SILENT_MEMBERS:
+            return False
+        return gone * SILENT_FRACTION >= len(index.live) + zone.deaths or zone.checks >= ZONE_CHECKS
+
+    def _is_doubtful(self, now: float, name: str, zone: ZoneWatch) -> bool:
+        gone = len(self._table.zones[name].suspects) + zone.deaths
+        return gone >= SILENT_MEMBERS and now - zone.heard_at > self._silence / 2
+
+    def _choose_check(self, name: str, zone: ZoneWatch) -> list[MemberId]:
+        for _ in range(CHECK_TRIES):
+            member = self._table.zones[name].live.choose(self._random)
+            if self._table.members[member].status is Status.ALIVE:
+                zone.checks += 1
+                return [member]
+        return []
+
+    def _forget_empty(self) -> None:
+        """Zones without live members. Costs O(zones), twice a second."""
+        if len(self._zones) != len(self._table.zones):
+            for name in [name for name in self._zones if name not in self._table.zones]:
+                del self._zones[name]
+                self.unreachable.pop(name, None)
+
+    def next_deadline(self) -> float:
+        return self._evaluate_at
