Gossip: membership fills datagrams by the codec's sizes; suspicions spread before a zone is held

Need: with suspicions taken back as soon as a zone was held, members that knew of only one suspect declared it dead during a cut. Change: those under way go on, and one suspect of a silent zone is enough to ask others of it.

--- a/saltcourse/gossip/broadcasts.py
+++ b/saltcourse/gossip/broadcasts.py
@@ -7,9 +7,15 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 
-from saltcourse.gossip.messages import MemberId, MemberRecord, Status, StatusUpdate, Update, ZoneSum
+from saltcourse.gossip.codec import update_size
+from saltcourse.gossip.messages import (
+    MAX_DATAGRAM_BYTES, MemberId, MemberRecord, StatusUpdate, Update, ZoneSum,
+)
+
+HEADER_RESERVE_BYTES = 80  # of a datagram before the message; the codec's header may grow to it
+MESSAGE_RESERVE_BYTES = 16  # of a message besides its list of records
+RECORDS_ROOM_BYTES = MAX_DATAGRAM_BYTES - HEADER_RESERVE_BYTES - MESSAGE_RESERVE_BYTES
 
 MAX_QUEUED = 1_024  # updates; at the bound the one that was passed on most often gives way
 Key = MemberId | str  # a member's id, or the zone of a sum
@@ -18,12 +24,11 @@
 class BroadcastQueue:
     """The newest update of each member and zone, in one level for each number of transmissions made."""
 
-    def __init__(self, retransmit_multiplier: float, size_of: Callable[[Update], int]) -> None:
+    def __init__(self, retransmit_multiplier: float) -> None:
         self.queued = 0  # updates ever put in
         self.transmissions = 0  # updates ever taken out to be sent
         self.dropped = 0  # at the bound
         self._multiplier = retransmit_multiplier
-        self._size_of = size_of
         self._levels: list[dict[Key, Update]] = [{}]
         self._level_of: dict[Key, int] = {}
 
@@ -39,15 +44,6 @@
         self._put(key, update, 0)
         self.queued += 1
 
-    def discard_suspicion(self, member: MemberId) -> None:
-        """Take back what this member was about to say against another one."""
-        level = self._level_of.get(member)
-        if level is None:
-            return
-        update = self._levels[level][member]
-        if not isinstance(update, ZoneSum) and update.status is Status.SUSPECT:
-            self._discard(member)
-
     def take(self, room: int, fleet: int) -> tuple[Update, ...]:
         """Updates of at most ``room`` bytes for one datagram; each counts as passed on once more."""
         if not self._level_of:
@@ -55,7 +51,7 @@
         taken: list[tuple[Key, Update, int]] = []
         for level, updates in enumerate(self._levels):
             for key, update in updates.items():
-                room -= self._size_of(update)
+                room -= update_size(update)
                 if room < 0:
                     break
                 taken.append((key, update, level))
--- a/saltcourse/gossip/membership.py
+++ b/saltcourse/gossip/membership.py
@@ -21,7 +21,7 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from saltcourse.gossip.broadcasts import BroadcastQueue
+from saltcourse.gossip.broadcasts import RECORDS_ROOM_BYTES, BroadcastQueue
 from saltcourse.gossip.failure_detector import FailedProbe, FailureDetector, LocalHealth, ProbeOrder
 from saltcourse.gossip.member_table import Member, MemberTable, is_departed
 from saltcourse.gossip.messages import (
@@ -30,7 +30,6 @@
 )
 from saltcourse.gossip.own_record import OwnRecord
 from saltcourse.gossip.settings import Timing
-from saltcourse.gossip.sizes import RECORDS_ROOM_BYTES, update_size
 from saltcourse.gossip.suspicion import SuspicionTimers, suspicion_timeout
 from saltcourse.gossip.table_sync import TableSync
 from saltcourse.gossip.update_merging import UpdateMerger
@@ -55,7 +54,7 @@
         self._table = MemberTable(me)
         self._own = OwnRecord(me)
         self._health = LocalHealth()
-        self._queue = BroadcastQueue(timing.retransmit_multiplier, update_size)
+        self._queue = BroadcastQueue(timing.retransmit_multiplier)
         self._order = ProbeOrder(self._table, source)
         self._timers = SuspicionTimers()
         self._zones = ZoneSilence(timing, source, self._table)
@@ -383,7 +382,7 @@
         return [self._detector.ping_once(target, self._table.members[target].record)]
 
     def _tick_gossip(self, now: float) -> list[Send]:
-        if now < self._gossip_at or not len(self._queue):
+        if now < self._gossip_at or len(self._queue) == 0:
             return []
         self._gossip_at = now + self._timing.gossip_interval
         sends = []
--- a/saltcourse/gossip/table_sync.py
+++ b/saltcourse/gossip/table_sync.py
@@ -12,12 +12,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from saltcourse.gossip.broadcasts import RECORDS_ROOM_BYTES
+from saltcourse.gossip.codec import update_size
 from saltcourse.gossip.member_table import MemberTable, is_departed
 from saltcourse.gossip.messages import (
     Address, MemberId, MemberRecord, Priority, Send, Status, SyncReply, SyncRequest,
 )
 from saltcourse.gossip.settings import Timing
-from saltcourse.gossip.sizes import RECORDS_ROOM_BYTES, update_size
 
 JOIN_INTERVAL = 1.0  # s, between questions to the seeds while nobody is known
 JOIN_SEEDS = 3  # asked at a time
--- a/saltcourse/gossip/update_merging.py
+++ b/saltcourse/gossip/update_merging.py
@@ -9,7 +9,8 @@
 
 from dataclasses import replace
 
-from saltcourse.gossip.broadcasts import BroadcastQueue
+from saltcourse.gossip.broadcasts import RECORDS_ROOM_BYTES, BroadcastQueue
+from saltcourse.gossip.codec import update_size
 from saltcourse.gossip.failure_detector import FailureDetector, LocalHealth, ProbeOrder
 from saltcourse.gossip.member_table import MemberTable, is_departed, is_valid, overrides
 from saltcourse.gossip.messages import (
@@ -17,7 +18,6 @@
 )
 from saltcourse.gossip.own_record import OwnRecord
 from saltcourse.gossip.settings import Timing
-from saltcourse.gossip.sizes import RECORDS_ROOM_BYTES, update_size
 from saltcourse.gossip.suspicion import SuspicionTimers, suspicion_timeout
 from saltcourse.gossip.zone_silence import ZoneSilence
 
@@ -126,12 +126,11 @@
     # ---- zones ------------------------------------------------------------------------------------
 
     def hold_zone(self, zone: str) -> None:
-        """A zone fell silent: its suspicions stand still, and are not passed on."""
+        """A zone fell silent: its suspicions stand still, and no more are passed on."""
         self.zones_silent += 1
         self.changes.append(ZoneReachability(zone, False))
         for member in self._table.zones[zone].suspects:
             self._timers.stop(member)
-            self._queue.discard_suspicion(member)
 
     def release_zone(self, now: float, zone: str, detector: FailureDetector) -> None:
         """A silent zone was heard. Probing finds out which of its members are not there."""
--- a/saltcourse/gossip/zone_silence.py
+++ b/saltcourse/gossip/zone_silence.py
@@ -2,12 +2,13 @@
 
 A zone is unreachable when nothing was heard of any of its members for ``zone_silence``, and there is more
 to it than a few dead ones: at least two members, and a fifth of the zone, are suspect or were declared dead
-since its last word; or ZONE_CHECKS members of it, chosen at random, left a Ping unanswered. These Pings go
-out only while two members of a silent zone are suspect: in a large fleet a small zone may well say nothing
-for a while. A member that hears nobody at all takes every zone for unreachable: it is cut off itself.
+since its last word; or one of them is, and ZONE_CHECKS others, chosen at random, left a Ping unanswered.
+These Pings go out only while a member of a silent zone is suspect: in a large fleet a small zone may well say
+nothing for a while. A member that hears nobody at all takes every zone for unreachable: it is cut off itself.
 
-Cost that grows with the number of zones: one record each of about 200 bytes; while suspicions stand, at most
-MAX_CHECKS_PER_TICK Pings each CHECK_INTERVAL.
+Cost that grows with the number of zones: one record each of about 200 bytes. While suspicions stand, at most
+MAX_CHECKS_PER_TICK Pings each CHECK_INTERVAL; CHECKS_PER_MEMBER a second arrive at each member of the zone,
+from the whole fleet.
 """
 
 from __future__ import annotations
@@ -21,7 +22,8 @@
 
 SILENT_FRACTION = 5  # one in so many members of a zone
 SILENT_MEMBERS = 2
-ZONE_CHECKS = 6  # unanswered, in place of the fraction
+ZONE_CHECKS = 4  # unanswered, in place of the fraction
+CHECKS_PER_MEMBER = 4.0  # a second, at each member of a zone that is in doubt
 CHECK_INTERVAL = 0.5  # s, between looks at the zones that have suspects
 MAX_CHECKS_PER_TICK = 4  # zones
 CHECK_TRIES = 8  # random members looked at for one that is not suspect
@@ -116,17 +118,21 @@
             return False
         index = self._table.zones[name]
         gone = len(index.suspects) + zone.deaths
-        if gone < SILENT_MEMBERS:
-            return False
-        return gone * SILENT_FRACTION >= len(index.live) + zone.deaths or zone.checks >= ZONE_CHECKS
+        is_fraction = gone * SILENT_FRACTION >= len(index.live) + zone.deaths
+        return (gone >= SILENT_MEMBERS and is_fraction) or (gone > 0 and zone.checks >= ZONE_CHECKS)
 
     def _is_doubtful(self, now: float, name: str, zone: ZoneWatch) -> bool:
         gone = len(self._table.zones[name].suspects) + zone.deaths
-        return gone >= SILENT_MEMBERS and now - zone.heard_at > self._silence / 2
+        return gone > 0 and now - zone.heard_at > self._silence / 2
 
     def _choose_check(self, name: str, zone: ZoneWatch) -> list[MemberId]:
+        """Nobody, more often than not, where the zone is small: the whole fleet does the same now."""
+        live = self._table.zones[name].live
+        share = CHECKS_PER_MEMBER * CHECK_INTERVAL * len(live) / self._table.size
+        if self._random.random() >= share:
+            return []
         for _ in range(CHECK_TRIES):
-            member = self._table.zones[name].live.choose(self._random)
+            member = live.choose(self._random)
             if self._table.members[member].status is Status.ALIVE:
                 zone.checks += 1
                 return [member]
