Gossip: a suspect is asked before it is declared dead; tests of membership

Need: with loss, about one in a hundred members missed an objection and declared a live member dead. Change: a suspect is pinged at half and at four fifths of its time; a probe proves nothing against a process or incarnation that it was not sent to; relays come from different regions; an own check before a member takes itself for cut off.

--- a/saltcourse/gossip/failure_detector.py
+++ b/saltcourse/gossip/failure_detector.py
@@ -48,6 +48,8 @@
     """A probe of this member's own."""
 
     target: MemberId
+    process: int
+    incarnation: int
     relays_at: float  # when others are asked
     ends_at: float
     relays: set[MemberId] | None = None  # None: not asked yet
@@ -68,6 +70,8 @@
 @dataclass(frozen=True, slots=True)
 class FailedProbe:
     target: MemberId
+    process: int
+    incarnation: int
     missing_nacks: int
 
 
@@ -124,7 +128,7 @@
         sequence = self._draw_sequence()
         relays_at = now + self._timing.probe_timeout * factor
         ends_at = now + self._timing.probe_interval * factor
-        self._probes[sequence] = Probe(target, relays_at, ends_at)
+        self._probes[sequence] = Probe(target, record.process, record.incarnation, relays_at, ends_at)
         self.probes_begun += 1
         return Send(record.address, Ping(sequence, target, self._piggyback(target)))
 
@@ -201,7 +205,8 @@
         for sequence, probe in list(self._probes.items()):
             if probe.ends_at <= now:
                 del self._probes[sequence]
-                failed.append(FailedProbe(probe.target, len((probe.relays or set()) - probe.nacks)))
+                missing_nacks = len((probe.relays or set()) - probe.nacks)
+                failed.append(FailedProbe(probe.target, probe.process, probe.incarnation, missing_nacks))
         return failed
 
     def drop(self, concerned: Callable[[MemberId], bool]) -> None:
--- a/saltcourse/gossip/member_table.py
+++ b/saltcourse/gossip/member_table.py
@@ -54,8 +54,8 @@
     host, port = record.address
     return (
         0 < len(record.name.encode()) <= MAX_NAME_BYTES
-        and len(record.zone.encode()) <= MAX_LABEL_BYTES
-        and len(record.region.encode()) <= MAX_LABEL_BYTES
+        and 0 < len(record.zone.encode()) <= MAX_LABEL_BYTES
+        and 0 < len(record.region.encode()) <= MAX_LABEL_BYTES
         and bool(host)
         and 0 < port < 2**16
         and 0 <= record.incarnation <= MAX_INCARNATION
--- a/saltcourse/gossip/membership.py
+++ b/saltcourse/gossip/membership.py
@@ -22,6 +22,7 @@
 from collections.abc import Mapping, Sequence
 
 from saltcourse.gossip.broadcasts import RECORDS_ROOM_BYTES, BroadcastQueue
+from saltcourse.gossip.budget import TokenBucket
 from saltcourse.gossip.failure_detector import FailedProbe, FailureDetector, LocalHealth, ProbeOrder
 from saltcourse.gossip.member_table import Member, MemberTable, is_departed
 from saltcourse.gossip.messages import (
@@ -36,9 +37,10 @@
 from saltcourse.gossip.zone_silence import ZoneSilence
 
 TELL_INTERVAL = 1.0  # s, between two answers with its own record to one member
-STRANGER_ANSWERS = 20  # in STRANGER_INTERVAL, to all senders that are not in the table
-STRANGER_INTERVAL = 1.0  # s
+STRANGER_ACKS = 100.0  # a second, to all senders that are not in the table
+STRANGER_PAGES = 20.0  # a second, of the table to them and asked of them
 LEAVE_FANOUT = 8  # members told at once by one that leaves
+RELAY_CANDIDATES = 4  # looked at for each relay wanted
 SAMPLE_TRIES = 6  # random members looked at for each one wanted
 
 
@@ -65,8 +67,8 @@
         self._sync = TableSync(self._table, seeds, timing, source, self.sample)
         self._last_tick = -math.inf
         self._probe_at = self._gossip_at = self._reconnect_at = math.inf
-        self._strangers_since = -math.inf
-        self._stranger_answers = 0
+        self._stranger_acks = TokenBucket(STRANGER_ACKS, STRANGER_ACKS)
+        self._stranger_pages = TokenBucket(STRANGER_PAGES, STRANGER_PAGES)
         self._was_joining = False
         self._probe_failures = 0
         self._misaddressed_pings = 0
@@ -199,7 +201,7 @@
         elif isinstance(message, Gossip):
             self._merger.merge_updates(now, message.updates)
         elif isinstance(message, SyncRequest):
-            if is_known or self._may_answer_stranger(now):
+            if is_known or _allows(self._stranger_pages, now):
                 sends.append(Send(source, self._sync.reply(message), Priority.BULK))
         else:
             sends += self._on_sync_reply(now, source, message)
@@ -214,7 +216,7 @@
             return []
         if is_known:
             return [Send(source, Ack(message.sequence, self._merger.updates_for(header.sender)))]
-        return [Send(source, Ack(message.sequence))] if self._may_answer_stranger(now) else []
+        return [Send(source, Ack(message.sequence))] if _allows(self._stranger_acks, now) else []
 
     def _on_ack(self, now: float, header: Header, message: Ack) -> list[Send]:
         alive, sends = self._detector.on_ack(now, header.sender, message)
@@ -228,7 +230,7 @@
         self, now: float, source: Address, message: PingRequest, is_known: bool
     ) -> list[Send]:
         self._merger.merge_updates(now, message.updates)
-        if not is_known and not self._may_answer_stranger(now):
+        if not is_known and not _allows(self._stranger_acks, now):
             return []
         if message.target == self._id:
             return [Send(source, Ack(message.sequence))]
@@ -262,14 +264,7 @@
         member = self._table.get(header.sender)
         if member is not None and header.incarnation <= member.record.incarnation:
             return self._tell_record(now, member, source, even_alive=True)
-        return self._sync.compare_with(now, source) if self._may_answer_stranger(now) else []
-
-    def _may_answer_stranger(self, now: float) -> bool:
-        if now - self._strangers_since >= STRANGER_INTERVAL:
-            self._strangers_since = now
-            self._stranger_answers = 0
-        self._stranger_answers += 1
-        return self._stranger_answers <= STRANGER_ANSWERS
+        return self._sync.compare_with(now, source) if _allows(self._stranger_pages, now) else []
 
     def _tell_record(
         self, now: float, member: Member, destination: Address, even_alive: bool = False
@@ -305,7 +300,7 @@
             self._merger.publish_own(now)
         sends = self._tick_zones(now)
         self._end_probes(now)
-        self._merger.declare_dead(now)
+        sends += self._ping_once(self._merger.expire_suspicions(now))
         sends += self._detector.tick(now, self._choose_relays)
         sends += self._tick_probe(now)
         sends += self._tick_reconnect(now)
@@ -319,7 +314,7 @@
         """This process stood still: what it missed meanwhile proves nothing."""
         self._stalls += 1
         self._detector.drop(lambda _: True)
-        self._timers.restart(now + suspicion_timeout(self._timing, self._table.size))
+        self._timers.restart(now, suspicion_timeout(self._timing, self._table.size))
         self._zones.restart(now)
 
     def _end_join(self) -> None:
@@ -332,28 +327,34 @@
         silent, checks = self._zones.evaluate(now)
         for zone in silent:
             self._merger.hold_zone(zone)
-        return [self._detector.ping_once(member, self._table.members[member].record) for member in checks]
+        return self._ping_once(checks)
+
+    def _ping_once(self, members: list[MemberId]) -> list[Send]:
+        return [self._detector.ping_once(member, self._table.members[member].record) for member in members]
 
     def _end_probes(self, now: float) -> None:
         for failed in self._detector.take_failed(now):
             self._on_failed_probe(now, failed)
 
     def _on_failed_probe(self, now: float, failed: FailedProbe) -> None:
+        """No proof against a process or an incarnation that the probe was not sent to."""
         entry = self._table.get(failed.target)
         if entry is None or is_departed(entry.status):
             return
+        if (entry.record.process, entry.record.incarnation) != (failed.process, failed.incarnation):
+            return
         self._probe_failures += 1
         if entry.status is Status.ALIVE and self._zones.is_reachable(entry.record.zone):
             self._health.change(1 + failed.missing_nacks)
         self._merger.suspect(now, failed.target)
 
     def _choose_relays(self, target: MemberId) -> list[MemberRecord]:
-        """Preferably of different zones: one of them may reach a zone that this member does not."""
+        """Preferably of different regions: one of them may reach a region that this member does not."""
         wanted = self._timing.indirect_probes
-        candidates = [record for record in self.sample(2 * wanted) if record.id != target]
-        by_zone = {record.zone: record for record in candidates}
-        chosen = list(by_zone.values())
-        chosen += [record for record in candidates if by_zone[record.zone] is not record]
+        candidates = [record for record in self.sample(RELAY_CANDIDATES * wanted) if record.id != target]
+        by_region = {record.region: record for record in candidates}
+        chosen = list(by_region.values())
+        chosen += [record for record in candidates if by_region[record.region] is not record]
         return chosen[:wanted]
 
     def _tick_probe(self, now: float) -> list[Send]:
@@ -378,8 +379,7 @@
             candidates.append(self._table.zones[zone].live.choose(self._random))
         if not candidates or self._own.has_left:
             return []
-        target = self._random.choice(candidates)
-        return [self._detector.ping_once(target, self._table.members[target].record)]
+        return self._ping_once([self._random.choice(candidates)])
 
     def _tick_gossip(self, now: float) -> list[Send]:
         if now < self._gossip_at or len(self._queue) == 0:
@@ -393,6 +393,14 @@
         return sends
 
 
+def _allows(bucket: TokenBucket, now: float) -> bool:
+    """Whether one more answer is within the bucket's rate; it is drawn then."""
+    if bucket.available(now) < 1:
+        return False
+    bucket.force(now, 1)
+    return True
+
+
 def _next_time(due: float, interval: float, now: float) -> float:
     """Times that were missed are not made up for."""
     return due + interval if due + interval > now else now + interval
--- a/saltcourse/gossip/suspicion.py
+++ b/saltcourse/gossip/suspicion.py
@@ -1,16 +1,20 @@
 """Timers of suspicions: who is dead when, unless it objects.
 
-Cost that grows with the fleet: one timer for each suspect, none for members alive.
+A suspect is asked directly before it is declared dead: its objection may have missed this member, as an
+epidemic broadcast misses one in a hundred. Cost that grows with the fleet: one timer for each suspect, none
+for members alive; and len(ASK_AT) Pings of each member for each death in the fleet.
 """
 
 from __future__ import annotations
 
 import heapq
 import math
+from dataclasses import dataclass, field
 
 from saltcourse.gossip.messages import MemberId
 from saltcourse.gossip.settings import Timing
 
+ASK_AT = (0.5, 0.8)  # of a suspicion's time
 _HEAP_SLACK = 64  # stopped timers left in the heap before it is built anew
 
 
@@ -19,47 +23,80 @@
     return timing.suspicion_multiplier * max(1.0, math.log10(fleet)) * timing.probe_interval
 
 
+@dataclass(slots=True)
+class Suspicion:
+    started_at: float
+    timeout: float
+    asked: int = 0
+
+    @property
+    def deadline(self) -> float:
+        """Of the next step: to ask, or to declare it dead."""
+        share = ASK_AT[self.asked] if self.asked < len(ASK_AT) else 1.0
+        return self.started_at + share * self.timeout
+
+
+@dataclass(slots=True)
+class DueSuspicions:
+    to_ask: list[MemberId] = field(default_factory=list)
+    expired: list[MemberId] = field(default_factory=list)
+
+
 class SuspicionTimers:
     """One timer for each suspect. A stopped one stays in the heap until its time or until there are many."""
 
     def __init__(self) -> None:
-        self._deadlines: dict[MemberId, float] = {}
+        self._suspicions: dict[MemberId, Suspicion] = {}
         self._heap: list[tuple[float, MemberId]] = []
 
     def __len__(self) -> int:
-        return len(self._deadlines)
+        return len(self._suspicions)
+
+    def __contains__(self, member: object) -> bool:
+        return member in self._suspicions
 
-    def start(self, member: MemberId, deadline: float) -> None:
-        self._deadlines[member] = deadline
-        heapq.heappush(self._heap, (deadline, member))
-        if len(self._heap) > 2 * len(self._deadlines) + _HEAP_SLACK:
+    def start(self, now: float, member: MemberId, timeout: float) -> None:
+        self._suspicions[member] = Suspicion(now, timeout)
+        self._push(member)
+        if len(self._heap) > 2 * len(self._suspicions) + _HEAP_SLACK:
             self._rebuild()
 
     def stop(self, member: MemberId) -> None:
-        self._deadlines.pop(member, None)
+        self._suspicions.pop(member, None)
 
-    def restart(self, deadline: float) -> None:
-        """All of them, to one new deadline."""
-        self._deadlines = dict.fromkeys(self._deadlines, deadline)
+    def restart(self, now: float, timeout: float) -> None:
+        """All of them, from now on."""
+        for member in self._suspicions:
+            self._suspicions[member] = Suspicion(now, timeout)
         self._rebuild()
 
-    def expired(self, now: float) -> list[MemberId]:
-        """Those whose time is up; their timers are gone."""
-        members = []
+    def take_due(self, now: float) -> DueSuspicions:
+        """The timers of those expired are gone."""
+        due = DueSuspicions()
         while self.next_deadline() <= now:
             _, member = heapq.heappop(self._heap)
-            del self._deadlines[member]
-            members.append(member)
-        return members
+            suspicion = self._suspicions[member]
+            if suspicion.asked < len(ASK_AT):
+                suspicion.asked += 1
+                self._push(member)
+                due.to_ask.append(member)
+            else:
+                del self._suspicions[member]
+                due.expired.append(member)
+        return due
 
     def next_deadline(self) -> float:
         while self._heap:
             deadline, member = self._heap[0]
-            if self._deadlines.get(member) == deadline:
+            suspicion = self._suspicions.get(member)
+            if suspicion is not None and suspicion.deadline == deadline:
                 return deadline
             heapq.heappop(self._heap)
         return math.inf
 
+    def _push(self, member: MemberId) -> None:
+        heapq.heappush(self._heap, (self._suspicions[member].deadline, member))
+
     def _rebuild(self) -> None:
-        self._heap = [(deadline, member) for member, deadline in self._deadlines.items()]
+        self._heap = [(suspicion.deadline, member) for member, suspicion in self._suspicions.items()]
         heapq.heapify(self._heap)
--- a/saltcourse/gossip/update_merging.py
+++ b/saltcourse/gossip/update_merging.py
@@ -106,12 +106,14 @@
             self.suspicions += 1
             self._merge(now, member, replace(record, status=Status.SUSPECT), spread=True)
 
-    def declare_dead(self, now: float) -> None:
-        """Those suspects that have not objected in time."""
-        for member in self._timers.expired(now):
+    def expire_suspicions(self, now: float) -> list[MemberId]:
+        """Declare those suspects dead that have not objected in time; the others given are to be asked."""
+        due = self._timers.take_due(now)
+        for member in due.expired:
             self.deaths += 1
             record = self._table.members[member].record
             self._merge(now, member, replace(record, status=Status.DEAD), spread=True)
+        return due.to_ask
 
     def publish_own(self, now: float) -> None:
         """In full: who has missed an earlier process of this name learns its address by it."""
@@ -196,7 +198,7 @@
         if record.status is not Status.SUSPECT:
             self._timers.stop(member)
         elif self._zones.is_reachable(record.zone):
-            self._timers.start(member, now + suspicion_timeout(self._timing, self._table.size))
+            self._timers.start(now, member, suspicion_timeout(self._timing, self._table.size))
         if record.status is Status.DEAD:
             self._zones.died(record.zone)
 
--- a/saltcourse/gossip/zone_silence.py
+++ b/saltcourse/gossip/zone_silence.py
@@ -101,6 +101,8 @@
         isolated = self.is_isolated(now)
         silent = []
         checks: list[MemberId] = []
+        if now - self._heard_anyone_at > self._silence / 2:
+            checks += self._choose_anyone()
         for name, zone in self._zones.items():
             if not zone.reachable:
                 continue
@@ -138,6 +140,15 @@
                 return [member]
         return []
 
+    def _choose_anyone(self) -> list[MemberId]:
+        """Somebody who should answer: hearing nobody may be chance in a small fleet that is half cut off."""
+        for _ in range(CHECK_TRIES if len(self._table.live_ids) else 0):
+            member = self._table.live_ids.choose(self._random)
+            record = self._table.members[member].record
+            if record.status is Status.ALIVE and self.is_reachable(record.zone):
+                return [member]
+        return []
+
     def _forget_empty(self) -> None:
         """Zones without live members. Costs O(zones), twice a second."""
         if len(self._zones) != len(self._table.zones):
