--- a/saltcourse/gossip/member_table.py
+++ b/saltcourse/gossip/member_table.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
-import struct
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -20,8 +18,8 @@
 )
 
 MAX_INCARNATION = 2**32 - 1
-_DIGEST_BYTES = 8
-_DIGEST_FIELDS = struct.Struct("!QII")  # id, incarnation, process
+_WORD = 2**64 - 1
+_MULTIPLIERS = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9, 0x94D049BB133111EB)  # of SplitMix64
 
 
 @dataclass(slots=True)
@@ -302,5 +300,13 @@
 def _digest(member: MemberId, record: MemberRecord) -> int:
     """XORed into its bucket. Alive and suspect are the same here: a suspicion passes by itself. Departed
     members are left out, so that tables which forget them at different times agree."""
-    fields = _DIGEST_FIELDS.pack(member, record.incarnation, record.process)
-    return int.from_bytes(hashlib.blake2b(fields, digest_size=_DIGEST_BYTES).digest(), "big")
+    return _mix(member + (record.process << 32 | record.incarnation) * _MULTIPLIERS[0])
+
+
+def _mix(value: int) -> int:
+    """The finalizer of SplitMix64: each bit of the result depends on each of the value, and equal changes of
+    two values do not cancel each other when the results are XORed."""
+    value &= _WORD
+    value = (value ^ value >> 30) * _MULTIPLIERS[1] & _WORD
+    value = (value ^ value >> 27) * _MULTIPLIERS[2] & _WORD
+    return value ^ value >> 31
--- a/saltcourse/gossip/membership.py
+++ b/saltcourse/gossip/membership.py
@@ -178,7 +178,7 @@
         member = self._table.get(header.sender)
         if member is None or member.record.process != header.process:
             return []  # ``handle`` knows where it can be answered
-        self._merger.merge_header(now, header.sender, member.record, header)
+        self._merger.merge_header(now, header.sender, member, header)
         if not is_departed(member.status):
             self._heard_zone(now, member.record.zone)
         return self._tell_record(now, member, member.record.address)
@@ -221,7 +221,7 @@
     def _on_ack(self, now: float, header: Header, message: Ack) -> list[Send]:
         alive, sends = self._detector.on_ack(now, header.sender, message)
         member = self._table.get(alive) if alive is not None else None
-        if member is not None:
+        if member is not None and not is_departed(member.status):
             self._heard_zone(now, member.record.zone)
         self._merger.merge_updates(now, message.updates)
         return sends
--- a/saltcourse/gossip/update_merging.py
+++ b/saltcourse/gossip/update_merging.py
@@ -10,7 +10,7 @@
 from saltcourse.gossip.broadcasts import RECORDS_ROOM_BYTES, BroadcastQueue
 from saltcourse.gossip.codec import update_size
 from saltcourse.gossip.failure_detector import FailureDetector, LocalHealth, ProbeOrder
-from saltcourse.gossip.member_table import MemberTable, is_departed, is_valid, overrides, with_status
+from saltcourse.gossip.member_table import Member, MemberTable, is_departed, is_valid, overrides, with_status
 from saltcourse.gossip.messages import (
     Header, MemberChanged, MemberId, MemberRecord, Status, StatusUpdate, Update, ZoneReachability, ZoneSum,
 )
@@ -71,53 +71,68 @@
             if member in self._table.members or not is_departed(record.status):
                 self._merge_record(now, member, record, spread)
 
-    def merge_header(self, now: float, member: MemberId, record: MemberRecord, header: Header) -> None:
+    def merge_header(self, now: float, member: MemberId, entry: Member, header: Header) -> None:
         """The process of a known record was heard itself: it lives, at its header's incarnation."""
-        if header.incarnation > record.incarnation:
-            raised = with_status(record, header.incarnation, Status.ALIVE)
-            self._merge(now, member, raised, spread=True)
+        if header.incarnation > entry.record.incarnation:
+            raised = with_status(entry.record, header.incarnation, Status.ALIVE)
+            self._replace(now, member, entry, raised, spread=True)
 
     def _merge_status(self, now: float, update: StatusUpdate) -> None:
-        if update.member == self._table.own_id:
-            if self._own.claimed(now, update.incarnation, update.status, None):
-                self._object(now, update.status)
-            return
         entry = self._table.get(update.member)
         if entry is None:
             return
+        if update.member == self._table.own_id:
+            self._merge_claim(now, update.incarnation, update.status, None)
+            return
         held = entry.record
         if (update.incarnation, update.status) > (held.incarnation, held.status):
             record = with_status(held, update.incarnation, update.status)
-            self._merge(now, update.member, record, spread=True)
+            self._replace(now, update.member, entry, record, spread=True)
 
     def _merge_record(self, now: float, member: MemberId, record: MemberRecord, spread: bool) -> None:
-        held = self._table.get(member)
-        if held is not None and member != self._table.own_id and not overrides(record, held.record):
+        entry = self._table.get(member)
+        is_own = member == self._table.own_id
+        if entry is not None and not is_own and not overrides(record, entry.record):
             return
         if not is_valid(record):
             self.invalid_records += 1
-        elif member != self._table.own_id:
-            self._merge(now, member, record, spread)
-        elif self._own.claimed(now, record.incarnation, record.status, record.process):
-            self._object(now, record.status)
+        elif is_own:
+            self._merge_claim(now, record.incarnation, record.status, record.process)
+        elif entry is not None:
+            self._replace(now, member, entry, record, spread)
+        elif self._table.has_room():
+            self._store(now, member, None, record, spread)
+        else:
+            self.table_full += 1
+
+    def _merge_claim(self, now: float, incarnation: int, status: Status, process: int | None) -> None:
+        """Something that is said of this member itself."""
+        if not self._own.claimed(now, incarnation, status, process):
+            return
+        if status is not Status.ALIVE:
+            self._health.change(1)
+        self.publish_own(now)
 
     # ---- this member's own claims -----------------------------------------------------------------
 
     def suspect(self, now: float, member: MemberId) -> None:
         """A live member did not answer."""
-        record = self._table.members[member].record
+        entry = self._table.members[member]
+        record = entry.record
         if record.status is Status.ALIVE:
             self.suspicions += 1
             is_told = self._zones.is_reachable(record.zone)
-            self._merge(now, member, with_status(record, record.incarnation, Status.SUSPECT), spread=is_told)
+            suspect = with_status(record, record.incarnation, Status.SUSPECT)
+            self._store(now, member, entry, suspect, spread=is_told)
 
     def expire_suspicions(self, now: float) -> list[MemberId]:
         """Declare those suspects dead that have not objected in time; the others given are to be asked."""
         due = self._timers.take_due(now)
         for member in due.expired:
             self.deaths += 1
-            record = self._table.members[member].record
-            self._merge(now, member, with_status(record, record.incarnation, Status.DEAD), spread=True)
+            entry = self._table.members[member]
+            dead = with_status(entry.record, entry.record.incarnation, Status.DEAD)
+            self._store(now, member, entry, dead, spread=True)
         return due.to_ask
 
     def publish_own(self, now: float) -> None:
@@ -125,11 +140,6 @@
         self._table.store(now, self._table.own_id, self._own.record)
         self._queue.add(self._table.own_id, self._own.record)
 
-    def _object(self, now: float, status: Status) -> None:
-        if status is not Status.ALIVE:
-            self._health.change(1)
-        self.publish_own(now)
-
     # ---- zones ------------------------------------------------------------------------------------
 
     def hold_zone(self, zone: str) -> None:
@@ -145,8 +155,9 @@
         self.changes.append(ZoneReachability(zone, True))
         detector.drop(lambda member: self._is_in_zone(member, zone))
         for member in list(self._table.zones[zone].suspects):
-            record = self._table.members[member].record
-            self._store(now, member, with_status(record, record.incarnation, Status.ALIVE))
+            entry = self._table.members[member]
+            alive = with_status(entry.record, entry.record.incarnation, Status.ALIVE)
+            self._store(now, member, entry, alive, spread=False)
 
     def _is_in_zone(self, member: MemberId, zone: str) -> bool:
         entry = self._table.get(member)
@@ -168,39 +179,40 @@
 
     # ---- the one way into the table ---------------------------------------------------------------
 
-    def _merge(self, now: float, member: MemberId, record: MemberRecord, spread: bool) -> None:
-        """Take a record of another member over if it overrides the one held."""
-        entry = self._table.get(member)
-        if entry is None:
-            if not self._table.has_room():
-                self.table_full += 1
-                return
-        elif not overrides(record, entry.record):
+    def _replace(
+        self, now: float, member: MemberId, entry: Member, record: MemberRecord, spread: bool
+    ) -> None:
+        """Take over what another member says, where it overrides what is held. Who says that a member of a
+        silent zone is dead cannot know either."""
+        if record.status is not Status.DEAD or self._zones.is_reachable(record.zone):
+            self._store(now, member, entry, record, spread)
             return
-        is_held = not self._zones.is_reachable(record.zone)
-        if is_held and record.status is Status.DEAD and entry is not None and not is_departed(entry.status):
-            record = with_status(record, record.incarnation, Status.SUSPECT)  # who says so cannot know either
-            spread = False
-            if not overrides(record, entry.record):
-                return
-        self._store(now, member, record)
+        suspect = with_status(record, record.incarnation, Status.SUSPECT)
+        if overrides(suspect, entry.record):
+            self._store(now, member, entry, suspect, spread=False)
+
+    def _store(
+        self, now: float, member: MemberId, entry: Member | None, record: MemberRecord, spread: bool
+    ) -> None:
+        """Keep a record, with all that follows. ``entry`` is what is held of the member."""
+        before = None if entry is None else entry.record
+        self._table.store(now, member, record)
+        status = record.status
+        if before is None or is_departed(before.status):
+            self._add_to_round(now, member, record)
+        elif before.zone != record.zone and not is_departed(status):
+            self._zones.member_added(now, record.zone)
+        if before is None or status is not before.status or record.incarnation != before.incarnation:
+            self._set_timer(now, member, record)
+        if before is None or status is not before.status:
+            self.changes.append(MemberChanged(record.name, record.zone, status))
         if spread:
             self._queue.add(member, _as_update(member, record))
 
-    def _store(self, now: float, member: MemberId, record: MemberRecord) -> None:
-        """Replace a record, with all that follows within this member."""
-        entry = self._table.get(member)
-        before = None if entry is None else entry.status
-        incarnation = None if entry is None else entry.record.incarnation
-        self._table.store(now, member, record)
+    def _add_to_round(self, now: float, member: MemberId, record: MemberRecord) -> None:
         if not is_departed(record.status):
             self._zones.member_added(now, record.zone)
-            if before is None or is_departed(before):
-                self._order.insert(member)
-        if (record.status, record.incarnation) != (before, incarnation):
-            self._set_timer(now, member, record)
-        if record.status is not before:
-            self.changes.append(MemberChanged(record.name, record.zone, record.status))
+            self._order.insert(member)
 
     def _set_timer(self, now: float, member: MemberId, record: MemberRecord) -> None:
         if record.status is not Status.SUSPECT:
