Gossip: the node that joins the parts

Change: the node decodes, shows headers to the parts, routes messages, follows the quorum's decisions in order and sends within the byte budget by priority.

--- /dev/null
+++ b/saltcourse/gossip/node.py
@@ -0,0 +1,268 @@
+"""One member of the fleet: joins membership, aggregation, dissemination and, at a voter, the quorum.
+
+No I/O and no clock: ``handle(now, event)`` takes what has happened and gives what is to be done, in order;
+``next_deadline()`` is when it wants to be called again although nothing happens. The parts neither know each
+other nor the bytes on the wire: the node decodes, shows each header to the parts that learn from it, passes the
+message to the part it is for, and sends what the parts want sent as far as the byte budget reaches.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Iterable
+
+from saltcourse.gossip.aggregation import Aggregation
+from saltcourse.gossip.budget import TokenBucket
+from saltcourse.gossip.codec import Codec, CodecError
+from saltcourse.gossip.dissemination import Dissemination
+from saltcourse.gossip.membership import Membership
+from saltcourse.gossip.messages import (
+    PACKET_OVERHEAD_BYTES,
+    Action,
+    Address,
+    Applied,
+    ConfigurationMessage,
+    ConnectionCount,
+    Event,
+    Header,
+    Leave,
+    Message,
+    Priority,
+    Publish,
+    PublishError,
+    PublishFailed,
+    QuorumMessage,
+    Received,
+    ReplicaState,
+    Role,
+    Send,
+    Status,
+    Tally,
+    Transmit,
+)
+from saltcourse.gossip.quorum import Beat, Commit, Quorum, QuorumAction
+from saltcourse.gossip.settings import NodeSettings
+
+BURST_SECONDS = 2.0  # of the byte budget that may be spent at once
+WAITING_SENDS = {Priority.CONFIGURATION: 32, Priority.MEMBERSHIP: 8, Priority.BULK: 8}  # the oldest give way
+NEVER = float("inf")
+
+
+class Node:
+    """``state`` is what a voter kept from an earlier process; None at its first start and at everyone else."""
+
+    def __init__(self, settings: NodeSettings, source: random.Random, state: ReplicaState | None = None) -> None:
+        timing = settings.timing
+        self.settings = settings
+        self.membership = Membership(settings.me, settings.seeds, timing, source)
+        self.aggregation = Aggregation(timing, source)
+        self.dissemination = Dissemination(timing, source, self.membership.sample)
+        self.quorum: Quorum | None = None
+        voter = next((v for v in settings.voters if v.name == settings.me.name), None)
+        if voter is not None:
+            self.quorum = Quorum(voter, settings.voters, timing, source, state or ReplicaState())
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.dropped: Counter[str] = Counter()
+        self._state = state
+        self._voter_ids = frozenset(v.id for v in settings.voters)
+        self._codec = Codec(settings.key)
+        self._budget = TokenBucket(settings.bytes_per_s, BURST_SECONDS * settings.bytes_per_s)
+        self._waiting: dict[Priority, deque[Send]] = {
+            priority: deque(maxlen=most) for priority, most in WAITING_SENDS.items()
+        }
+        self._actions: list[Action] = []
+
+    # ---- events -----------------------------------------------------------------------------------
+
+    def start(self, now: float) -> list[Action]:
+        if self._state is not None:
+            self.dissemination.restore(now, self._state)
+        self._send(now, self.membership.start(now))
+        if self.quorum is not None:
+            self._follow(now, self.quorum.start(now))
+        return self._finish(now)
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        """Takes the event and does whatever else is due."""
+        match event:
+            case Received(source, datagram):
+                self._receive(now, source, datagram)
+            case ConnectionCount(connections):
+                self.aggregation.set_count(connections)
+            case Publish():
+                self._publish(now, event)
+            case Leave():
+                self._send(now, self.membership.leave(now))
+        self._tick(now)
+        return self._finish(now)
+
+    def next_deadline(self) -> float:
+        """When something is due next, on the clock of ``now``."""
+        due = [self.membership.next_deadline(), self.dissemination.next_deadline()]
+        if self._is_proxy():
+            due.append(self.aggregation.next_deadline())
+        if self.quorum is not None:
+            due.append(self.quorum.next_deadline())
+        due.append(self._budget_deadline())
+        return min(due)
+
+    # ---- what comes in ----------------------------------------------------------------------------
+
+    def _receive(self, now: float, source: Address, datagram: bytes) -> None:
+        size = len(datagram) + PACKET_OVERHEAD_BYTES
+        self.received_bytes += size
+        self._budget.force(now, size)
+        try:
+            header, message = self._codec.decode(datagram)
+        except CodecError as wrong:
+            self.dropped[wrong.reason.name.lower()] += 1
+            return
+        if self._is_own(header):
+            self.dropped["own"] += 1
+            return
+        self._send(now, self.membership.heard(now, header))
+        self._send(now, self.dissemination.observe(now, source, header))
+        self._dispatch(now, source, header, message)
+        self._pass_on_sums(now)
+
+    def _is_own(self, header: Header) -> bool:
+        me = self.membership.me
+        return header.sender == me.id and header.process == me.process
+
+    def _dispatch(self, now: float, source: Address, header: Header, message: Message) -> None:
+        if isinstance(message, Tally):
+            self.aggregation.handle(now, header, message)
+        elif isinstance(message, ConfigurationMessage):
+            self._send(now, self.dissemination.handle(now, source, header, message))
+        elif isinstance(message, QuorumMessage):
+            self._dispatch_quorum(now, source, header, message)
+        else:
+            self._send(now, self.membership.handle(now, source, header, message))
+
+    def _dispatch_quorum(self, now: float, source: Address, header: Header, message: QuorumMessage) -> None:
+        if self.quorum is None or header.sender not in self._voter_ids:
+            self.dropped["not_voter"] += 1
+            return
+        self._follow(now, self.quorum.handle(now, source, header, message))
+
+    def _pass_on_sums(self, now: float) -> None:
+        for update in self.membership.take_received():
+            if self.aggregation.receive(now, update):
+                self.membership.broadcast(update)
+
+    def _publish(self, now: float, event: Publish) -> None:
+        if self.quorum is None:
+            self._actions.append(PublishFailed(event.token, PublishError.NOT_CONTROL))
+        else:
+            self._follow(now, self.quorum.publish(now, event))
+
+    # ---- what is due ------------------------------------------------------------------------------
+
+    def _tick(self, now: float) -> None:
+        if now >= self.membership.next_deadline():
+            self._send(now, self.membership.tick(now))
+        if now >= self.dissemination.next_deadline():
+            self._send(now, self.dissemination.tick(now))
+        if self._is_proxy() and now >= self.aggregation.next_deadline():
+            self._tick_aggregation(now)
+        if self.quorum is not None and now >= self.quorum.next_deadline():
+            self._follow(now, self.quorum.tick(now))
+
+    def _tick_aggregation(self, now: float) -> None:
+        me = self.membership.me
+        sends, zone_sum = self.aggregation.tick(now, me, self.membership.live(me.zone))
+        self._send(now, sends)
+        if zone_sum is not None:
+            self.membership.broadcast(zone_sum)
+
+    def _is_proxy(self) -> bool:
+        return self.settings.me.role is Role.PROXY
+
+    # ---- the quorum's decisions -------------------------------------------------------------------
+
+    def _follow(self, now: float, decided: Iterable[QuorumAction]) -> None:
+        for action in decided:
+            match action:
+                case Send():
+                    self._send(now, [action])
+                case Commit(change):
+                    self._send(now, self.dissemination.commit(now, change))
+                    self._collect(now)
+                case Beat(heartbeat):
+                    self.dissemination.beat(now, heartbeat)
+                case _:
+                    self._actions.append(action)
+
+    def _collect(self, now: float) -> None:
+        """Takes what the dissemination has applied, and shows it to the quorum before anything else is sent."""
+        for action in self.dissemination.take_actions():
+            self._actions.append(action)
+            if isinstance(action, Applied) and self.quorum is not None:
+                configuration = self.dissemination.configuration
+                self._follow(now, self.quorum.applied(now, action.position, configuration))
+
+    # ---- what goes out ----------------------------------------------------------------------------
+
+    def _finish(self, now: float) -> list[Action]:
+        self._collect(now)
+        if self.quorum is not None:
+            newest = self.dissemination.position, self.dissemination.heartbeat
+            self._follow(now, self.quorum.observe(now, *newest))
+        self._send_waiting(now)
+        self._actions.extend(self.membership.take_changes())
+        actions, self._actions = self._actions, []
+        return actions
+
+    def _send(self, now: float, sends: Iterable[Send]) -> None:
+        for send in sends:
+            if send.priority is Priority.PROBE:
+                self._budget.force(now, self._transmit(send))
+            else:
+                self._waiting[send.priority].append(send)
+
+    def _send_waiting(self, now: float) -> None:
+        for priority in sorted(self._waiting):
+            queue = self._waiting[priority]
+            while queue and self._budget.available(now) > 0:
+                self._budget.force(now, self._transmit(queue.popleft()))
+
+    def _transmit(self, send: Send) -> int:
+        """Bytes that it takes from the budget. The header tells what holds now, not when it was queued."""
+        datagram = self._codec.encode(self._header(), send.message)
+        self._actions.append(Transmit(send.destination, datagram))
+        size = len(datagram) + PACKET_OVERHEAD_BYTES
+        self.sent_bytes += size
+        return size
+
+    def _header(self) -> Header:
+        me = self.membership.me
+        part = self.dissemination
+        return Header(me.id, me.incarnation, me.process, part.position, part.heartbeat)
+
+    def _budget_deadline(self) -> float:
+        if not any(self._waiting.values()):
+            return NEVER
+        return self._budget.available_at()
+
+    # ---- figures ----------------------------------------------------------------------------------
+
+    def figures(self, now: float) -> dict[str, int]:
+        """Whole numbers for the operators, by name."""
+        by_status = Counter(member.status for member in self.membership.members.values())
+        found = {f"members.{status.name.lower()}": by_status[status] for status in Status}
+        found |= {f"zone.{zone}.connections": s.connections for zone, s in self.aggregation.sums(now).items()}
+        found |= {
+            "position.epoch": self.dissemination.position.epoch,
+            "position.version": self.dissemination.position.version,
+            "freshness": int(self.dissemination.freshness),
+            "bytes.sent": self.sent_bytes,
+            "bytes.received": self.received_bytes,
+        }
+        found |= {f"dropped.{reason}": count for reason, count in sorted(self.dropped.items())}
+        found |= self.membership.figures()
+        found |= self.dissemination.figures()
+        if self.quorum is not None:
+            found |= self.quorum.figures()
+        return found
