--- a/saltcourse/gossip/budget.py
+++ b/saltcourse/gossip/budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 
 class TokenBucket:
     """Fills with ``rate`` tokens a second up to ``burst``. Times are seconds of one monotonic clock; one that
@@ -36,3 +38,9 @@
             self._tokens = min(self.burst, self._tokens + elapsed * self.rate)
             self._filled_at = now
         return self._tokens
+
+    def available_at(self) -> float:
+        """When there is a token again, if none is spent until then; in the past where there is one already."""
+        if self._filled_at is None:
+            return -math.inf
+        return self._filled_at + max(0.0, 1.0 - self._tokens) / self.rate
--- a/tests/test_gossip_codec.py
+++ b/tests/test_gossip_codec.py
@@ -329,6 +329,15 @@
     assert bucket.take(1.0, 50)
 
 
+def test_a_bucket_tells_when_it_has_a_token_again():
+    bucket = TokenBucket(rate=100, burst=50)
+    assert bucket.available_at() < 0
+    bucket.force(10.0, 80)
+    assert bucket.available_at() == pytest.approx(10.31)
+    assert bucket.available(bucket.available_at()) == pytest.approx(1)
+    assert bucket.available_at() == pytest.approx(10.31)
+
+
 def test_a_clock_that_goes_back_gives_a_bucket_nothing():
     bucket = TokenBucket(rate=100, burst=50)
     assert bucket.take(10.0, 50)
