--- a/saltcourse/gossip/budget.py
+++ b/saltcourse/gossip/budget.py
@@ -40,7 +40,7 @@
         return self._tokens
 
     def available_at(self) -> float:
-        """When there is a token again, if none is spent until then; in the past where there is one already."""
+        """When there is a token again if none is spent until then; in the past where there is one already."""
         if self._filled_at is None:
             return -math.inf
         return self._filled_at + max(0.0, 1.0 - self._tokens) / self.rate
