--- a/saltcourse/admin/calls.py
+++ b/saltcourse/admin/calls.py
@@ -4,7 +4,8 @@
 - one call a connection: whatever follows the first call is not read, and every answer closes;
 - a call is bounded: head and body together at most ``MOST_BYTES``, or it is malformed;
 - every call gets one answer: 2xx for yes, 404 for a path that is not known, 405 for a method that the
-  path does not take, 400 for bytes that are no call (and the connection is closed after it).
+  path does not take, 413 for a change that is too large, 400 for bytes that are no call (and the connection
+  is closed after it).
 """
 
 from __future__ import annotations
@@ -14,7 +15,10 @@
 
 import h11
 
-MOST_BYTES = 8 * 1024  # an operator's call is a line and a few headers
+MOST_BYTES = 8 * 1024  # an operator's call is a line and a few headers, or a small change in JSON
+TEXT = b"text/plain; charset=utf-8"
+JSON = b"application/json"
+NO_SUCH_PATH = b"no such path\n"
 
 
 class Ask(Enum):
@@ -22,13 +26,21 @@
     VARS = "vars"
     LAMEDUCK_ON = "lameduck on"
     LAMEDUCK_OFF = "lameduck off"
+    GOSSIP_MEMBERS = "gossip members"
+    GOSSIP_CONFIGURATION = "gossip configuration"
+    GOSSIP_PUBLISH = "gossip publish"
 
 
-ROUTES: dict[bytes, tuple[bytes, Ask]] = {
-    b"/_ready": (b"GET", Ask.READY),
-    b"/_vars": (b"GET", Ask.VARS),
-    b"/_lameduck/on": (b"PUT", Ask.LAMEDUCK_ON),
-    b"/_lameduck/off": (b"PUT", Ask.LAMEDUCK_OFF),
+LAMEDUCK_ASKS = frozenset({Ask.LAMEDUCK_ON, Ask.LAMEDUCK_OFF})
+GOSSIP_ASKS = frozenset({Ask.GOSSIP_MEMBERS, Ask.GOSSIP_CONFIGURATION, Ask.GOSSIP_PUBLISH})
+
+ROUTES: dict[bytes, dict[bytes, Ask]] = {
+    b"/_ready": {b"GET": Ask.READY},
+    b"/_vars": {b"GET": Ask.VARS},
+    b"/_lameduck/on": {b"PUT": Ask.LAMEDUCK_ON},
+    b"/_lameduck/off": {b"PUT": Ask.LAMEDUCK_OFF},
+    b"/_gossip/members": {b"GET": Ask.GOSSIP_MEMBERS},
+    b"/_gossip/configuration": {b"GET": Ask.GOSSIP_CONFIGURATION, b"PUT": Ask.GOSSIP_PUBLISH},
 }
 
 
@@ -37,6 +49,7 @@
     status: int
     body: bytes = b""
     allow: bytes = b""
+    content_type: bytes = TEXT
 
 
 class Reader:
@@ -46,12 +59,18 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_BYTES)
         self._asked: Ask | Answer | None = None
         self._size = 0
+        self._body = bytearray()
+
+    @property
+    def body(self) -> bytes:
+        """Of a whole call."""
+        return bytes(self._body)
 
     def feed(self, data: bytes) -> Ask | Answer | None:
         """What was asked once the call is whole, an answer at once when it is wrong, else None."""
         self._size += len(data)
         if self._size > MOST_BYTES:
-            return Answer(400, b"call too large\n")
+            return Answer(413 if self._asked is Ask.GOSSIP_PUBLISH else 400, b"call too large\n")
         self._h11.receive_data(data)
         try:
             while True:
@@ -62,6 +81,8 @@
                     return None
                 if isinstance(event, h11.Request):
                     self._asked = route(event.method, event.target)
+                elif isinstance(event, h11.Data):
+                    self._body += event.data
                 elif isinstance(event, h11.EndOfMessage):
                     return self._asked
                 elif isinstance(event, h11.ConnectionClosed):
@@ -74,15 +95,15 @@
     path = target.split(b"?", 1)[0]
     known = ROUTES.get(path)
     if known is None:
-        return Answer(404, b"no such path\n")
-    wanted, ask = known
-    if method != wanted:
-        return Answer(405, b"method not allowed\n", wanted)
+        return Answer(404, NO_SUCH_PATH)
+    ask = known.get(method)
+    if ask is None:
+        return Answer(405, b"method not allowed\n", b", ".join(known))
     return ask
 
 
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           409: b"Conflict", 503: b"Service Unavailable"}
+           409: b"Conflict", 413: b"Content Too Large", 503: b"Service Unavailable"}
 
 
 def answer_bytes(answer: Answer) -> bytes:
@@ -91,7 +112,7 @@
     # The writer must have seen a call before it writes an answer; this one stands for whatever came.
     writer.receive_data(b"GET / HTTP/1.1\r\nhost: admin\r\n\r\n")
     writer.next_event()
-    headers = [(b"content-type", b"text/plain; charset=utf-8"),
+    headers = [(b"content-type", answer.content_type),
                (b"content-length", str(len(answer.body)).encode()), (b"connection", b"close")]
     if answer.allow:
         headers.append((b"allow", answer.allow))
--- a/saltcourse/admin/server.py
+++ b/saltcourse/admin/server.py
@@ -15,7 +15,7 @@
 import structlog
 from tornado.iostream import IOStream, StreamClosedError
 
-from saltcourse.admin.calls import Answer, Ask, Reader, answer_bytes
+from saltcourse.admin.calls import NO_SUCH_PATH, Answer, Ask, Reader, answer_bytes
 from saltcourse.net.stream import listening
 from saltcourse.wire.members import Address
 
@@ -28,9 +28,26 @@
 log = structlog.get_logger("saltcourse")
 
 
+class GossipCalls(Protocol):
+    """What a member of the fleet answers for."""
+
+    def members(self) -> Answer: ...
+
+    def configuration(self) -> Answer: ...
+
+    async def publish(self, body: bytes) -> Answer:
+        """Takes as long as the control members need to agree, or to give up."""
+
+
 class Operated(Protocol):
     """What the program answers for."""
 
+    def offers(self, ask: Ask) -> bool:
+        """Whether it has what is asked for at all."""
+
+    @property
+    def gossip_calls(self) -> GossipCalls | None: ...
+
     def ready(self) -> bool: ...
 
     def figures_text(self) -> bytes: ...
@@ -88,10 +105,11 @@
 
     async def _serve(self, stream: IOStream) -> None:
         try:
-            asked = await self._read(stream)
+            reader = Reader()
+            asked = await self._read(stream, reader)
             if asked is None:
                 return
-            answer = asked if isinstance(asked, Answer) else self._answer(asked)
+            answer = asked if isinstance(asked, Answer) else await self._answer(asked, reader.body)
             async with asyncio.timeout(WRITE_TIME):
                 await stream.write(answer_bytes(answer))
         except (StreamClosedError, TimeoutError, OSError):
@@ -100,9 +118,8 @@
             stream.close()
 
     @staticmethod
-    async def _read(stream: IOStream) -> Ask | Answer | None:
+    async def _read(stream: IOStream, reader: Reader) -> Ask | Answer | None:
         """None when the caller left or took too long: nobody waits for an answer then."""
-        reader = Reader()
         async with asyncio.timeout(CALL_TIME):
             while True:
                 try:
@@ -115,7 +132,10 @@
                 if not data:
                     return None
 
-    def _answer(self, ask: Ask) -> Answer:
+    async def _answer(self, ask: Ask, body: bytes) -> Answer:
+        if not self.program.offers(ask):
+            return Answer(404, NO_SUCH_PATH)
+        gossip = self.program.gossip_calls
         match ask:
             case Ask.READY:
                 return Answer(200, b"yes\n") if self.program.ready() else Answer(503, b"no\n")
@@ -126,5 +146,11 @@
                 if self.program.lameduck(on):
                     return Answer(200, b"lameduck on\n" if on else b"lameduck off\n")
                 return Answer(409, b"the proxy is leaving\n")
-
-
+            case Ask.GOSSIP_MEMBERS if gossip is not None:
+                return gossip.members()
+            case Ask.GOSSIP_CONFIGURATION if gossip is not None:
+                return gossip.configuration()
+            case Ask.GOSSIP_PUBLISH if gossip is not None:
+                return await gossip.publish(body)
+            case _:
+                return Answer(404, NO_SUCH_PATH)
--- a/saltcourse/cli.py
+++ b/saltcourse/cli.py
@@ -2,75 +2,53 @@
 
 from __future__ import annotations
 
-import logging
 import os
-import sys
 from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
 import click
-import structlog
 
 from saltcourse import __version__, signals
+from saltcourse.cli_gossip import control, publish
+from saltcourse.cli_options import (
+    EXIT_LISTEN,
+    config_option,
+    fail,
+    load_operator,
+    operator_option,
+    refuse,
+    reread_gossip,
+    reread_operator,
+    set_up_logging,
+)
 from saltcourse.config import Config, ConfigError, load_config
-from saltcourse.net.lifecycle import CannotListen
+from saltcourse.config.overlay import ConfigurationSource
+from saltcourse.net.errors import CannotListen
+from saltcourse.net.lifecycle import Companion, FleetMember
 from saltcourse.net.lifecycle import serve as serve_forever
 
 if TYPE_CHECKING:  # nothing of it is imported without an operator's file
     from saltcourse.config.operator import MembershipSettings, OperatorSettings
+    from saltcourse.config.operator_gossip import GossipSettings
 
-EXIT_CONFIG, EXIT_LISTEN = 2, 3
-
-
-def set_up_logging() -> None:
-    """One line an event on standard error, time first; no colours, for it ends up in files."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
-    )
+NEEDS_PEERS = ("membership", "fleet", "gossip")  # sections that let proxies talk to each other
 
 
 def _load(path: str | None) -> Config:
     try:
         return load_config(path, os.environ)
     except ConfigError as wrong:
-        click.echo(f"saltcourse: configuration: {wrong}", err=True)
-        raise SystemExit(EXIT_CONFIG) from None
-
-
-def _load_operator(given: str | None, me: str) -> OperatorSettings | None:
-    if not (given or os.environ.get("SALTCOURSE_OPERATOR")):
-        return None
-    try:
-        from saltcourse.config.operator import operator_path, read_operator
-    except ImportError as wrong:
-        click.echo(f"saltcourse: --operator: {wrong}: install saltcourse[membership]", err=True)
-        raise SystemExit(EXIT_CONFIG) from None
-    path = operator_path(given, os.environ)
-    assert path is not None
-    try:
-        return read_operator(path, me)
-    except ConfigError as wrong:
-        click.echo(f"saltcourse: configuration: {wrong}", err=True)
-        raise SystemExit(EXIT_CONFIG) from None
+        refuse(str(wrong))
 
 
 def _load_both(path: str | None, operator: str | None) -> tuple[Config, OperatorSettings | None]:
     config = _load(path)
-    settings = _load_operator(operator, config.name)
-    for part in ("membership", "fleet"):
-        if settings is not None and getattr(settings, part) is not None and not config.settings.peers:
-            click.echo(f"saltcourse: configuration: {part}: the deployment's settings say that proxies may "
-                       "not talk to each other ('settings.limits.peers')", err=True)
-            raise SystemExit(EXIT_CONFIG)
+    settings = load_operator(operator, config.name)
+    for section in NEEDS_PEERS:
+        if settings is not None and getattr(settings, section) is not None and not config.settings.peers:
+            refuse(f"{section}: the deployment's settings say that proxies may not talk to each other "
+                   "('settings.limits.peers')")
     return _with_terms(config, settings), settings
 
 
@@ -85,17 +63,11 @@
     return _with_terms(load_config(path, os.environ, again=True), operator)
 
 
-config_option = click.option(
-    "--config", "path", metavar="FILE", help="Configuration file; default $EDGE_CONFIG.")
-operator_option = click.option(
-    "--operator", metavar="FILE", help="The operator's own file; default $SALTCOURSE_OPERATOR, else none.")
-
-
 @click.group(invoke_without_command=True)
 @click.pass_context
 def main(context: click.Context) -> None:
     """A balancing proxy for long-lived connections."""
-    if context.invoked_subcommand not in (None, serve.name):
+    if context.invoked_subcommand not in (None, serve.name, control.name):
         signals.release()
     if context.invoked_subcommand is None:
         context.invoke(serve, path=None, operator=None)
@@ -108,23 +80,39 @@
     """Run the proxy until SIGTERM. SIGHUP has it read its configuration again."""
     config, settings = _load_both(path, operator)
     set_up_logging()
-    beside = None
+    source = ConfigurationSource(config, partial(_reread, path, settings))
+    companions: list[Companion] = []
+    gossip: FleetMember | None = None
     if settings is not None and settings.membership is not None:
-        from saltcourse.membership.run import Beside
-
-        beside = Beside(settings.membership, partial(_reread_membership, operator, config.name))
+        companions.append(_membership_companion(settings.membership, operator, config.name))
+    if settings is not None and settings.gossip is not None:
+        gossip = _gossip_companion(settings.gossip, source, operator, config.name)
     try:
-        serve_forever(config, partial(_reread, path, settings), beside)
+        serve_forever(config, source.reread, companions, gossip)
     except CannotListen as wrong:
-        click.echo(f"saltcourse: {wrong}", err=True)
-        raise SystemExit(EXIT_LISTEN) from None
+        fail(EXIT_LISTEN, str(wrong))
 
 
-def _reread_membership(operator: str | None, me: str) -> MembershipSettings | None:
-    from saltcourse.config.operator import operator_path, read_operator
+def _membership_companion(settings: MembershipSettings, operator: str | None, me: str) -> Companion:
+    from saltcourse.membership.run import Beside
+
+    return Beside(settings, partial(_reread_membership, operator, me))
+
 
-    found = operator_path(operator, os.environ)
-    return read_operator(found, me).membership if found is not None else None
+def _gossip_companion(
+    settings: GossipSettings, source: ConfigurationSource, operator: str | None, me: str
+) -> FleetMember:
+    from saltcourse.gossip.messages import Role
+    from saltcourse.gossip.run import GossipCompanion
+
+    if settings.role is not Role.PROXY:
+        refuse("gossip.role: must be PROXY for a proxy; a control member runs alone, by saltcourse control")
+    return GossipCompanion(settings, source, partial(reread_gossip, operator, me))
+
+
+def _reread_membership(operator: str | None, me: str) -> MembershipSettings | None:
+    settings = reread_operator(operator, me)
+    return settings.membership if settings is not None else None
 
 
 @main.command()
@@ -136,14 +124,11 @@
     Ends on SIGTERM; SIGHUP has it read its keys again.
     """
     me = name or os.environ.get("EDGE_NAME") or ""
-    settings = _load_operator(operator, me)
+    settings = load_operator(operator, me)
     if settings is None or settings.membership is None:
-        click.echo("saltcourse: configuration: a witness needs an operator's file with membership", err=True)
-        raise SystemExit(EXIT_CONFIG)
+        refuse("a witness needs an operator's file with membership")
     if not settings.membership.witness:
-        click.echo(f"saltcourse: configuration: membership.member: {settings.membership.me!r} is no witness",
-                   err=True)
-        raise SystemExit(EXIT_CONFIG)
+        refuse(f"membership.member: {settings.membership.me!r} is no witness")
     set_up_logging()
     from saltcourse.membership.run import run_alone
 
@@ -165,9 +150,18 @@
         click.echo(f"membership: {told.me} of {len(told.seats)}, service address {told.service_address}, "
                    f"announced by {by}, vote kept in {told.store_file or 'memory only'}, "
                    f"{len(told.keys)} keys")
+    if settings is not None and settings.gossip is not None:
+        gossip = settings.gossip
+        click.echo(f"gossip: {gossip.me} in zone {gossip.zone} of {gossip.region}, listens on "
+                   f"{gossip.listen[0]}:{gossip.listen[1]}, {len(gossip.seeds)} seeds, "
+                   f"{len(gossip.voters)} voters, {gossip.bytes_per_s:g} bytes/s")
 
 
 @main.command()
 def version() -> None:
     """Print the version."""
     click.echo(f"saltcourse {__version__}")
+
+
+main.add_command(control)
+main.add_command(publish)
--- a/saltcourse/config/__init__.py
+++ b/saltcourse/config/__init__.py
@@ -86,13 +86,16 @@
     return value
 
 
-def _limits(values: dict[str, Any]) -> Limits:
+def allowed_sockets(wanted: int) -> int:
+    """At most as many as the process may hold."""
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return wanted if allowed == resource.RLIM_INFINITY else min(wanted, allowed)
+
+
+def _limits(values: dict[str, Any]) -> Limits:
     sockets = int(_number(values, "sockets", DEFAULT_SOCKETS, FEWEST_SOCKETS))
-    if allowed != resource.RLIM_INFINITY:
-        sockets = min(sockets, allowed)
     return Limits(_number(values, "cores", DEFAULT_CORES, 0.01),
-                  _number(values, "memory_mb", DEFAULT_MEMORY_MB, 16), sockets)
+                  _number(values, "memory_mb", DEFAULT_MEMORY_MB, 16), allowed_sockets(sockets))
 
 
 def _seed(value: Any) -> int:
--- /dev/null
+++ b/saltcourse/config/overlay.py
@@ -0,0 +1,100 @@
+"""Values of the fleet's configuration that override a proxy's own file, key by key.
+
+``proxy/discovery`` is ``host:port``, ``proxy/limits.sockets`` a decimal number. A value that can't be read is
+told, counted, and leaves the one before it in force; a key that is deleted leaves the file's own value.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+
+import structlog
+
+from saltcourse.config import FEWEST_SOCKETS, Config, allowed_sockets
+from saltcourse.wire.members import Address, read_address
+
+DISCOVERY_KEY = "proxy/discovery"
+SOCKETS_KEY = "proxy/limits.sockets"
+MAX_DIGITS = 9
+
+log = structlog.get_logger("saltcourse")
+
+
+def _read_discovery(value: bytes) -> Address:
+    return read_address(value.decode())
+
+
+def _read_sockets(value: bytes) -> int:
+    text = value.decode()
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+        raise ValueError("not a decimal number")
+    if int(text) < FEWEST_SOCKETS:
+        raise ValueError(f"under {FEWEST_SOCKETS}")
+    return allowed_sockets(int(text))
+
+
+class Overlay:
+    """The newest good value of each key."""
+
+    def __init__(self) -> None:
+        self.rejections = 0  # values that could not be read, since the start
+        self._discovery: Address | None = None
+        self._sockets: int | None = None
+        self._seen: dict[str, bytes | None] = {}
+        self._rejected: dict[str, int] = {}  # key -> version of the value that is not in force
+
+    @property
+    def rejected_version(self) -> int:
+        """The newest version that holds a value which is not in force here; 0: there is none."""
+        return max(self._rejected.values(), default=0)
+
+    def update(self, configuration: Mapping[str, bytes], version: int) -> bool:
+        """Takes over what a new version of the fleet's configuration says; whether anything was different."""
+        keys = [key for key in (DISCOVERY_KEY, SOCKETS_KEY) if self._seen.get(key) != configuration.get(key)]
+        for key in keys:
+            value = configuration.get(key)
+            self._seen[key] = value
+            try:
+                self._set(key, value)
+            except ValueError as error:
+                self._reject(key, version, str(error))
+            else:
+                self._rejected.pop(key, None)
+        return bool(keys)
+
+    def apply(self, config: Config) -> Config:
+        """The configuration of the file with these values in place of its own."""
+        if self._discovery is not None:
+            config = replace(config, discovery=self._discovery)
+        if self._sockets is not None:
+            config = replace(config, limits=replace(config.limits, sockets=self._sockets))
+        return config
+
+    def _set(self, key: str, value: bytes | None) -> None:
+        if key == DISCOVERY_KEY:
+            self._discovery = None if value is None else _read_discovery(value)
+        else:
+            self._sockets = None if value is None else _read_sockets(value)
+
+    def _reject(self, key: str, version: int, reason: str) -> None:
+        self.rejections += 1
+        self._rejected[key] = version
+        log.error("gossip configuration value rejected", key=key, version=version, reason=reason)
+
+
+class ConfigurationSource:
+    """The file's configuration as it was last read, under the overlay."""
+
+    def __init__(self, config: Config, read: Callable[[], Config]) -> None:
+        self.overlay = Overlay()
+        self._config = config
+        self._read = read
+
+    def reread(self) -> Config:
+        """``ConfigError`` when the file can't be used; what it said before then stays."""
+        self._config = self._read()
+        return self.current()
+
+    def current(self) -> Config:
+        return self.overlay.apply(self._config)
--- /dev/null
+++ b/saltcourse/gossip/admin.py
@@ -0,0 +1,108 @@
+"""What a member answers at the admin address: its view of the fleet, the configuration, and publishing."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from typing import Any
+
+import orjson
+
+from saltcourse.admin.calls import JSON, Answer
+from saltcourse.gossip.changes import BadChange, ChangeTooLarge, parse_change
+from saltcourse.gossip.host import Host, PublishOutcome
+from saltcourse.gossip.messages import Position, Published, PublishError
+
+PUBLISH_MARGIN = 2.0  # s over the node's own time for a change, after which its answer is not waited for
+
+STATUS_OF_ERROR = {
+    PublishError.NOT_CONTROL: 404,
+    PublishError.NO_MAJORITY: 503,
+    PublishError.TOO_LARGE: 413,
+    PublishError.BUSY: 503,
+}
+TEXT_OF_ERROR = {
+    PublishError.NOT_CONTROL: "this is no control member that votes: publish at one that does",
+    PublishError.NO_MAJORITY: "no majority of the control members in time; the change may still be committed",
+    PublishError.TOO_LARGE: "the configuration would be too large",
+    PublishError.BUSY: "too many changes are under way; this one was not published",
+}
+
+
+class GossipAnswers:
+    """Answers to calls; ``host`` may have been closed."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+
+    def members(self) -> Answer:
+        node = self._host.node
+        now = self._host.now()
+        zones = {
+            zone: {"members": found.members, "connections": found.connections}
+            for zone, found in node.aggregation.sums(now).items()
+        }
+        members = [
+            {
+                "name": member.record.name,
+                "address": "{}:{}".format(*member.record.address),
+                "region": member.record.region,
+                "zone": member.record.zone,
+                "role": member.record.role.name.lower(),
+                "status": member.status.name.lower(),
+                "incarnation": member.record.incarnation,
+                "since_s": round(now - member.since, 1),
+            }
+            for member in node.membership.members.values()
+        ]
+        members.sort(key=lambda member: str(member["name"]))
+        return _json(200, {"members": members, "zones": zones})
+
+    def configuration(self) -> Answer:
+        dissemination = self._host.node.dissemination
+        values: dict[str, str] = {}
+        binary: dict[str, str] = {}
+        for key, value in sorted(dissemination.configuration.items()):
+            try:
+                values[key] = value.decode()
+            except UnicodeDecodeError:
+                binary[key] = base64.b64encode(value).decode()
+        found = _position(dissemination.position)
+        found |= {"freshness": dissemination.freshness.name.lower(), "values": values}
+        if binary:
+            found["base64"] = binary
+        return _json(200, found)
+
+    async def publish(self, body: bytes) -> Answer:
+        if self._host.node.quorum is None:
+            return _failure(PublishError.NOT_CONTROL)
+        try:
+            writes = parse_change(body)
+        except ChangeTooLarge as error:
+            return Answer(413, f"{error}\n".encode())
+        except BadChange as error:
+            return Answer(400, f"{error}\n".encode())
+        patience = self._host.node.settings.timing.publish_timeout + PUBLISH_MARGIN
+        try:
+            async with asyncio.timeout(patience):
+                return _outcome(await self._host.publish(writes))
+        except TimeoutError:
+            return _failure(PublishError.NO_MAJORITY)
+
+
+def _outcome(outcome: PublishOutcome) -> Answer:
+    if isinstance(outcome, Published):
+        return _json(200, _position(outcome.position))
+    return _failure(outcome.error)
+
+
+def _failure(error: PublishError) -> Answer:
+    return Answer(STATUS_OF_ERROR[error], f"{TEXT_OF_ERROR[error]}\n".encode())
+
+
+def _position(position: Position) -> dict[str, Any]:
+    return {"epoch": position.epoch, "version": position.version}
+
+
+def _json(status: int, value: dict[str, Any]) -> Answer:
+    return Answer(status, orjson.dumps(value) + b"\n", content_type=JSON)
--- /dev/null
+++ b/saltcourse/gossip/control.py
@@ -0,0 +1,153 @@
+"""A control member alone in its process: a voter, or one that only follows and answers operators."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import structlog
+
+from saltcourse import signals
+from saltcourse.admin.calls import LAMEDUCK_ASKS, Ask
+from saltcourse.admin.server import AdminServer, GossipCalls
+from saltcourse.config import ConfigError
+from saltcourse.config.operator_gossip import SECTION, GossipSettings
+from saltcourse.figures import Figures
+from saltcourse.gossip.admin import GossipAnswers
+from saltcourse.gossip.host import LEAVE_GRACE, Host, PersistError, StateStore
+from saltcourse.gossip.member_table import Member
+from saltcourse.gossip.messages import Address, ReplicaState, Status
+from saltcourse.gossip.run import Reread, create_host, figure_names, start_host, warn_of_changes
+from saltcourse.gossip.store import ReplicaStore, StoreError
+from saltcourse.net.errors import CannotListen
+
+log = structlog.get_logger("saltcourse")
+
+
+class ControlFailed(Exception):
+    """The control member can't go on; the text says why."""
+
+
+class VoterStore:
+    """A voter's file, with the errors that the host knows."""
+
+    def __init__(self, store: ReplicaStore) -> None:
+        self._store = store
+
+    def save(self, state: ReplicaState) -> None:
+        try:
+            self._store.save(state)
+        except StoreError as error:
+            raise PersistError(str(error)) from None
+
+    def close(self) -> None:
+        self._store.close()
+
+
+class ControlMember:
+    """The program that the admin address answers for."""
+
+    def __init__(self, settings: GossipSettings, reread: Reread) -> None:
+        self._settings = settings
+        self._reread = reread
+        self._stop = asyncio.Event()
+        self._failure: PersistError | None = None
+        self._figures = Figures(())
+        self._figures.gauges = self._gauges
+        self._host = self._create_host()
+        self._answers = GossipAnswers(self._host)
+
+    async def run(self, admin: Address | None) -> None:
+        """Until SIGTERM or SIGINT, or until its state can't be kept."""
+        self._handle_signals()
+        await start_host(self._host, self._settings)
+        server = self._serve_admin(admin)
+        try:
+            await self._stop.wait()
+            await self._leave()
+        finally:
+            if server is not None:
+                server.stop()
+        if self._failure is not None:
+            raise ControlFailed(f"{SECTION}.store_file: {self._failure}")
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signals.handle(number, lambda: loop.call_soon_threadsafe(self._stop.set))
+        signals.handle(signal.SIGHUP, lambda: loop.call_soon_threadsafe(self._reload))
+
+    def _reload(self) -> None:
+        warn_of_changes(self._settings, self._reread)
+
+    def _create_host(self) -> Host:
+        state: ReplicaState | None = None
+        store: StateStore | None = None
+        if self._settings.is_voter and self._settings.store_file is not None:
+            try:
+                opened = ReplicaStore(self._settings.store_file, self._settings.me)
+                state = opened.load()
+            except StoreError as error:
+                raise ConfigError(f"{SECTION}.store_file: {error}") from None
+            store = VoterStore(opened)
+        return create_host(self._settings, state, store, on_failure=self._on_failure)
+
+    def _on_failure(self, error: PersistError) -> None:
+        self._failure = error
+        self._stop.set()
+
+    def _serve_admin(self, address: Address | None) -> AdminServer | None:
+        if address is None:
+            return None
+        server = AdminServer(address, self)
+        try:
+            server.start()
+        except OSError as error:
+            raise CannotListen("--admin", "{}:{}".format(*address), error) from None
+        return server
+
+    async def _leave(self) -> None:
+        if not self._host.is_open:
+            return
+        self._host.leave()
+        log.info("gossip left", me=self._settings.me)
+        await asyncio.sleep(LEAVE_GRACE)
+        self._host.close()
+
+    # ---- what operators ask -----------------------------------------------------------------------
+
+    @property
+    def gossip_calls(self) -> GossipCalls | None:
+        return self._answers
+
+    def offers(self, ask: Ask) -> bool:
+        return ask not in LAMEDUCK_ASKS
+
+    def ready(self) -> bool:
+        """A voter knows a majority of the voters to be alive; others know any voter."""
+        members = self._host.node.membership.members
+        alive = [voter for voter in self._settings.voters if _is_alive(members.get(voter.id))]
+        wanted = len(self._settings.voters) // 2 + 1 if self._settings.is_voter else 1
+        return self._host.is_open and len(alive) >= wanted
+
+    def figures_text(self) -> bytes:
+        return self._figures.text()
+
+    def lameduck(self, on: bool) -> bool:
+        return False
+
+    def _gauges(self) -> dict[str, int]:
+        return figure_names(self._host.figures())
+
+
+def _is_alive(member: Member | None) -> bool:
+    return member is not None and member.status is Status.ALIVE
+
+
+def run_alone(settings: GossipSettings, reread: Reread, admin: Address | None) -> None:
+    """``ConfigError``, ``CannotListen`` or ``ControlFailed`` say why it did not start or go on."""
+    asyncio.run(_run_alone(settings, reread, admin))
+
+
+async def _run_alone(settings: GossipSettings, reread: Reread, admin: Address | None) -> None:
+    await ControlMember(settings, reread).run(admin)
--- a/saltcourse/net/lifecycle.py
+++ b/saltcourse/net/lifecycle.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from enum import Enum
 from functools import partial
@@ -23,12 +23,14 @@
 from saltcourse.net.decider import Decider
 from saltcourse.net.directory import Directory, Relocate
 from saltcourse.net.doorstep import Doorstep
+from saltcourse.net.errors import CannotListen
 from saltcourse.net.invoker import SHORT
 from saltcourse.net.messages import Forfeit, MoveAll
 from saltcourse.net.stream import Peer, listening
 
 if TYPE_CHECKING:  # nothing of it is imported without an admin address
-    from saltcourse.admin.server import AdminServer
+    from saltcourse.admin.calls import Ask
+    from saltcourse.admin.server import AdminServer, GossipCalls
     from saltcourse.net.peers import PeerLink
 
 BACKLOG = 1024  # connections that wait to be taken: most clients may come back in the same second
@@ -46,13 +48,6 @@
 log = structlog.get_logger("saltcourse")
 
 
-class CannotListen(Exception):
-    """An address or descriptor to listen on cannot be had; says which key of the configuration names it."""
-
-    def __init__(self, key: str, where: str, wrong: OSError) -> None:
-        super().__init__(f"'{key}': cannot listen on {where}: {wrong.strerror or wrong}")
-
-
 class Phase(Enum):
     STARTING = "starting"  # nothing is open yet
     SERVING = "serving"  # PING is answered
@@ -74,12 +69,29 @@
     def reload(self) -> None: ...
 
 
+class FleetMember(Companion, Protocol):
+    """The companion that makes the proxy a member of a fleet with gossip."""
+
+    @property
+    def answers(self) -> GossipCalls | None: ...
+
+    def attach(self, program: Lifecycle) -> None:
+        """Before its start: ``program`` tells its connections, and takes over a changed configuration."""
+
+    def figures(self) -> dict[str, int]: ...
+
+
 class Lifecycle:
-    """``reread`` reads the configuration anew when SIGHUP asks for it; without it SIGHUP changes nothing."""
+    """``reread`` reads the configuration anew when SIGHUP asks for it; without it SIGHUP changes nothing.
+    ``companions`` and ``gossip`` start when it serves, and leave before it drains, ``gossip`` first."""
 
     def __init__(self, config: Config, reread: Callable[[], Config] | None = None,
-                 beside: Companion | None = None) -> None:
-        self.config, self._reread, self._beside = config, reread, beside
+                 companions: Sequence[Companion] = (), gossip: FleetMember | None = None) -> None:
+        self.config, self._reread, self._gossip = config, reread, gossip
+        self._companions = list(companions)
+        if gossip is not None:
+            self._companions.insert(0, gossip)
+            gossip.attach(self)
         self.phase = Phase.STARTING
         self.clock = Clock()
         self.directory = Directory(config.discovery, config.known.version, lambda m: self.decider.tell(m))
@@ -127,11 +139,11 @@
             except OSError as wrong:
                 raise CannotListen("admin", "{}:{}".format(*self.config.admin), wrong) from None
         self._enter(Phase.SERVING)
-        if self._beside is not None:
-            await self._beside.start()
+        for companion in self._companions:
+            await companion.start()
         await self.leave.wait()
-        if self._beside is not None:
-            await self._beside.leave()
+        for companion in self._companions:
+            await companion.leave()
         await self._drain()
         signals.ignore()
         self._enter(Phase.STOPPED)
@@ -172,18 +184,31 @@
 
     def _gauges(self) -> dict[str, int]:
         targets, disabled = self.decider.targets()
-        # Connections that clients asked for and that have not ended; not those that only sit or PING.
-        taken = sum(1 for c in self.consumers if c.stage in (Stage.WAITING, Stage.STANDING))
         fleet = self.decider.fleet() if self.peers is not None else {}
-        return {"concurrent": taken, "targets": targets, "targets_disabled": disabled, **fleet}
+        gossip = self._gossip.figures() if self._gossip is not None else {}
+        return {"concurrent": self.connections(), "targets": targets, "targets_disabled": disabled,
+                **fleet, **gossip}
+
+    def connections(self) -> int:
+        """Connections that clients asked for and that have not ended; not those that only sit or PING."""
+        return sum(1 for c in self.consumers if c.stage in (Stage.WAITING, Stage.STANDING))
+
+    @property
+    def gossip_calls(self) -> GossipCalls | None:
+        return self._gossip.answers if self._gossip is not None else None
+
+    def offers(self, ask: Ask) -> bool:
+        from saltcourse.admin.calls import GOSSIP_ASKS  # not imported where nobody calls
+
+        return ask not in GOSSIP_ASKS or self.gossip_calls is not None
 
     def reload(self) -> None:
         """Take over what a changed configuration file says; whatever stands is left as it is.
 
         The same in every phase: also a program that drains has to hear of its providers.
         """
-        if self._beside is not None:
-            self._beside.reload()
+        for companion in self._companions:
+            companion.reload()
         if self._reread is None:
             return
         try:
@@ -191,6 +216,10 @@
         except ConfigError as wrong:
             log.error("the old configuration is kept", reason=str(wrong))
             return
+        self.take_over(new)
+
+    def take_over(self, new: Config) -> None:
+        """What of ``new`` can change in a running program is in force from now on; the rest is logged."""
         old, self.config = self.config, replace(self.config, discovery=new.discovery, limits=new.limits)
         later = [key for key in NEED_RESTART if getattr(new, key) != getattr(old, key)]
         if later:
@@ -326,9 +355,9 @@
 
 
 def serve(config: Config, reread: Callable[[], Config] | None = None,
-          beside: Companion | None = None) -> None:
+          companions: Sequence[Companion] = (), gossip: FleetMember | None = None) -> None:
     """Run the program; CannotListen when it cannot listen."""
-    asyncio.run(Lifecycle(config, reread, beside).run())
+    asyncio.run(Lifecycle(config, reread, companions, gossip).run())
 
 
 __all__ = ["CannotListen", "Lifecycle", "Phase", "serve"]
