Gossip: lines fit, and the quorum sees only the newest configuration applied

Cause: when one datagram brought several changes, the quorum was shown each position with the configuration of the last, so that a voter could have kept a wrong pair on its disk. Change: it is shown the newest pair once; lines over 110 columns are cut.

--- a/saltcourse/gossip/messages.py
+++ b/saltcourse/gossip/messages.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusUpdate:
-    """The status of a member whose full record the receiver has; others pass over it and synchronise later."""
+    """The status of a member whose full record the receiver has; others pass over it and sync later."""
 
     member: MemberId
     incarnation: int
@@ -103,7 +103,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PingRequest:
-    """Ping ``target`` for me, and pass its Ack on with my sequence; a Nack when it does not answer in time."""
+    """Ping ``target`` for me, and pass its Ack on with my sequence; a Nack when it gives none in time."""
 
     sequence: int
     target: MemberId
@@ -133,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """Full records in the order of their ids, of the buckets that differ. ``more``: ask again from the last."""
+    """Full records in the order of their ids, of buckets that differ. ``more``: ask again behind the last."""
 
     records: tuple[MemberRecord, ...]
     more: bool
@@ -236,8 +236,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Propose:
-    """``epoch`` is the publisher's. The change keeps the position that its first publisher gave it, also where
-    a later one proposes it again: a change that was committed before is then the same one."""
+    """``epoch`` is the publisher's. The change keeps the position that its first publisher gave it, also
+    where a later one proposes it again: a change that was committed before is then the same one."""
 
     epoch: int
     change: Change
@@ -427,5 +427,6 @@
 
 
 Action = (
-    Persist | Transmit | Applied | Published | PublishFailed | MemberChanged | FreshnessChanged | ZoneReachability
+    Persist | Transmit | Applied | Published | PublishFailed
+    | MemberChanged | FreshnessChanged | ZoneReachability
 )
--- a/saltcourse/gossip/node.py
+++ b/saltcourse/gossip/node.py
@@ -2,8 +2,8 @@
 
 No I/O and no clock: ``handle(now, event)`` takes what has happened and gives what is to be done, in order;
 ``next_deadline()`` is when it wants to be called again although nothing happens. The parts neither know each
-other nor the bytes on the wire: the node decodes, shows each header to the parts that learn from it, passes the
-message to the part it is for, and sends what the parts want sent as far as the byte budget reaches.
+other nor the bytes on the wire: the node decodes, shows each header to the parts that learn from it, passes
+the message to the part it is for, and sends what the parts want sent as far as the byte budget reaches.
 """
 
 from __future__ import annotations
@@ -50,9 +50,11 @@
 
 
 class Node:
-    """``state`` is what a voter kept from an earlier process; None at its first start and at everyone else."""
+    """``state`` is what a voter kept from an earlier process; None at its first start and for others."""
 
-    def __init__(self, settings: NodeSettings, source: random.Random, state: ReplicaState | None = None) -> None:
+    def __init__(
+        self, settings: NodeSettings, source: random.Random, state: ReplicaState | None = None
+    ) -> None:
         timing = settings.timing
         self.settings = settings
         self.membership = Membership(settings.me, settings.seeds, timing, source)
@@ -196,12 +198,12 @@
                     self._actions.append(action)
 
     def _collect(self, now: float) -> None:
-        """Takes what the dissemination has applied, and shows it to the quorum before anything else is sent."""
-        for action in self.dissemination.take_actions():
-            self._actions.append(action)
-            if isinstance(action, Applied) and self.quorum is not None:
-                configuration = self.dissemination.configuration
-                self._follow(now, self.quorum.applied(now, action.position, configuration))
+        """Takes what the dissemination has done, and shows the quorum the newest configuration in force."""
+        taken = self.dissemination.take_actions()
+        self._actions.extend(taken)
+        if self.quorum is not None and any(isinstance(action, Applied) for action in taken):
+            part = self.dissemination
+            self._follow(now, self.quorum.applied(now, part.position, part.configuration))
 
     # ---- what goes out ----------------------------------------------------------------------------
 
@@ -252,7 +254,8 @@
         """Whole numbers for the operators, by name."""
         by_status = Counter(member.status for member in self.membership.members.values())
         found = {f"members.{status.name.lower()}": by_status[status] for status in Status}
-        found |= {f"zone.{zone}.connections": s.connections for zone, s in self.aggregation.sums(now).items()}
+        sums = self.aggregation.sums(now)
+        found |= {f"zone.{zone}.connections": told.connections for zone, told in sums.items()}
         found |= {
             "position.epoch": self.dissemination.position.epoch,
             "position.version": self.dissemination.position.version,
--- a/saltcourse/gossip/settings.py
+++ b/saltcourse/gossip/settings.py
@@ -12,7 +12,7 @@
     """Seconds, unless said otherwise. The same at all members."""
 
     probe_interval: float = 1.0  # one member is probed in each
-    probe_timeout: float = 0.4  # for a direct answer, then others are asked; above a round trip between regions
+    probe_timeout: float = 0.4  # for a direct answer, then others are asked; above any round trip
     indirect_probes: int = 3  # members asked to probe for this one
     suspicion_multiplier: float = 4.0  # times log10 of the fleet times the interval: until a suspect is dead
     gossip_interval: float = 0.2  # between messages of updates alone, while there are any to send
@@ -22,7 +22,7 @@
     reconnect_interval: float = 2.0  # between probes of members that are held for dead
     forget_after: float = 3_600.0  # since a member died or left
     zone_silence: float = 3.0  # without a word from a whole zone before its suspicions are held
-    stall: float = 3.0  # by which a tick may be late before this process takes itself for one that stood still
+    stall: float = 3.0  # by which a tick may be late before this process counts as one that stood still
     announce_fanout: int = 4  # members told of a change that was just applied
     fetch_timeout: float = 0.5  # until another member is asked
     snapshot_bytes_per_s: float = 8_000.0  # that a late joiner asks for
