--- a/saltcourse/__main__.py
+++ b/saltcourse/__main__.py
@@ -1,9 +1,15 @@
-"""``python -m saltcourse`` alone serves; see ``cli``."""
+"""``python -m saltcourse`` and the command ``saltcourse``; alone it serves, see ``cli``."""
 
 from saltcourse import signals
 
-signals.hold()  # before the imports, which take a while on a small part of a core
 
-from saltcourse.cli import main  # noqa: E402
+def main() -> None:
+    """Hold the signals first: the imports behind it take a while on a small part of a core."""
+    signals.hold()
+    from saltcourse.cli import main as command_line
 
-main(prog_name="saltcourse")
+    command_line(prog_name="saltcourse")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_package.py
@@ -0,0 +1,176 @@
+"""The installed package: a wheel from this checkout, in a fresh environment, used outside the checkout."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import subprocess
+import sys
+import venv
+import zipfile
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+NOT_COPIED = shutil.ignore_patterns(
+    ".git", ".venv*", "build", "found", "logs", "journal", "*.egg-info", "__pycache__", ".*_cache",
+    ".hypothesis")
+EXTRAS = "membership,gossip"  # those that modules of the package need
+NEED_AN_EXTRA = ("saltcourse.schema.", "saltcourse.config.operator", "saltcourse.membership.",
+                 "saltcourse.gossip.")
+OF_THE_EXTRAS = "google"  # the package that they need
+NOT_IN_THE_DAEMON = ("matplotlib", "psutil", "hdrh", "rich")  # modules of the extra 'scale'
+LIMIT = 300.0  # s for any one step; the longest fetches packages from the index
+
+IMPORT_EVERYTHING = """
+import importlib, json, pkgutil, saltcourse
+failed = {}
+for module in pkgutil.walk_packages(saltcourse.__path__, "saltcourse.", onerror=lambda name: None):
+    try:
+        importlib.import_module(module.name)
+    except ModuleNotFoundError as missing:
+        failed[module.name] = missing.name
+print(json.dumps([saltcourse.__file__, failed]))
+"""
+LIST_COMMANDS = """
+import json, click
+from saltcourse.cli import main
+def paths(command, path):
+    yield path
+    if isinstance(command, click.Group):
+        context = click.Context(command)
+        for name in command.list_commands(context):
+            yield from paths(command.get_command(context, name), [*path, name])
+print(json.dumps(list(paths(main, []))))
+"""
+WATCH_HOLD = """
+import json, sys
+from saltcourse import signals
+held_before_imports = []
+hold = signals.hold
+def watched():
+    held_before_imports.append("click" not in sys.modules)
+    hold()
+signals.hold = watched
+sys.argv = ["saltcourse", "version"]
+try:
+    {start}
+except SystemExit:
+    pass
+print(json.dumps(held_before_imports))
+"""
+START_COMMAND = "__import__('importlib.metadata').metadata.entry_points(" \
+                "group='console_scripts', name='saltcourse')['saltcourse'].load()()"
+START_MODULE = "__import__('runpy').run_module('saltcourse', run_name='__main__')"
+
+
+@dataclass(frozen=True)
+class Installed:
+    """A virtual environment that holds the package and nothing of the checkout."""
+
+    folder: Path  # where its commands are run, outside the checkout
+    wheel: Path
+
+    def run(self, *command: str) -> str:
+        """Standard output of a command of the environment; it has to succeed."""
+        environment = {name: value for name, value in os.environ.items()
+                       if not name.startswith(("PYTHON", "EDGE_", "SALTCOURSE"))}
+        ran = subprocess.run([str(self.folder / "venv" / "bin" / command[0]), *command[1:]], cwd=self.folder,
+                             env=environment, capture_output=True, text=True, timeout=LIMIT)
+        assert ran.returncode == 0, f"{command}: exit {ran.returncode}: {ran.stderr}"
+        return ran.stdout
+
+    def imports(self) -> dict[str, str]:
+        """Modules that do not import, and the module that each of them misses."""
+        origin, failed = json.loads(self.run("python", "-c", IMPORT_EVERYTHING))
+        assert Path(origin).is_relative_to(self.folder)
+        return dict(failed)
+
+
+def pip(*arguments: str) -> None:
+    ran = subprocess.run([sys.executable, "-m", "pip", "--disable-pip-version-check", *arguments],
+                         capture_output=True, text=True, timeout=LIMIT)
+    assert ran.returncode == 0, ran.stderr
+
+
+def install(folder: Path, wheel: Path, extras: str) -> None:
+    """The package with its dependencies, in the versions that the checkout is tested with."""
+    pins = [line for name in ("requirements.txt", "requirements-dev.txt")
+            for line in (ROOT / name).read_text().splitlines() if not line.startswith("-")]
+    constraints = folder / "constraints.txt"
+    constraints.write_text("\n".join(pins))
+    pip("--python", str(folder / "venv" / "bin" / "python"), "install", "-q", "-c", str(constraints),
+        f"{wheel}{extras}")
+
+
+@pytest.fixture(scope="module")
+def plain(tmp_path_factory: pytest.TempPathFactory) -> Installed:
+    """Without any extra."""
+    folder = tmp_path_factory.mktemp("plain")
+    source = folder / "source"
+    shutil.copytree(ROOT, source, ignore=NOT_COPIED)
+    pip("wheel", "-q", "--no-deps", "--wheel-dir", str(folder), str(source))
+    (wheel,) = folder.glob("*.whl")
+    venv.create(folder / "venv")
+    install(folder, wheel, "")
+    return Installed(folder, wheel)
+
+
+@pytest.fixture(scope="module")
+def extended(plain: Installed, tmp_path_factory: pytest.TempPathFactory) -> Installed:
+    """With the extras."""
+    folder = tmp_path_factory.mktemp("extended")
+    venv.create(folder / "venv")
+    install(folder, plain.wheel, f"[{EXTRAS}]")
+    return Installed(folder, plain.wheel)
+
+
+def test_the_wheel_holds_every_module_of_the_checkout_and_nothing_else(plain: Installed) -> None:
+    wanted = {str(path.relative_to(ROOT)) for path in (ROOT / "saltcourse").rglob("*.py")}
+    with zipfile.ZipFile(plain.wheel) as wheel:
+        found = {name for name in wheel.namelist() if ".dist-info/" not in name}
+    assert {name for name in found if name.endswith(".py")} == wanted
+    assert all(name.startswith("saltcourse/") for name in found)
+
+
+def test_every_module_imports_and_only_an_extra_may_be_missing(plain: Installed, extended: Installed) -> None:
+    without = plain.imports()
+    assert set(without.values()) <= {OF_THE_EXTRAS}
+    assert [name for name in without if not (name + ".").startswith(NEED_AN_EXTRA)] == []
+    assert extended.imports() == {}
+
+
+def test_version_by_command_and_by_module(plain: Installed) -> None:
+    by_command = plain.run("saltcourse", "version")
+    assert by_command.startswith("saltcourse ")
+    assert by_command == plain.run("python", "-m", "saltcourse", "version")
+
+
+def test_each_command_has_help(extended: Installed) -> None:
+    paths: list[Sequence[str]] = json.loads(extended.run("python", "-c", LIST_COMMANDS))
+    assert ["version"] in paths and ["serve"] in paths
+    for path in paths:
+        assert "Usage: saltcourse" in extended.run("saltcourse", *path, "--help")
+
+
+def test_the_example_is_checked_without_any_extra(plain: Installed) -> None:
+    example = shutil.copy(ROOT / "example" / "config.json", plain.folder)
+    assert "listens on" in plain.run("saltcourse", "check-config", "--config", str(example))
+
+
+@pytest.mark.parametrize("start", [START_COMMAND, START_MODULE], ids=["command", "module"])
+def test_signals_are_held_before_the_long_imports(plain: Installed, start: str) -> None:
+    said = plain.run("python", "-c", WATCH_HOLD.replace("{start}", start))
+    assert json.loads(said.splitlines()[-1]) == [True]
+
+
+def test_the_daemon_imports_nothing_of_the_lab() -> None:
+    script = "import sys, saltcourse.cli, saltcourse.net.lifecycle; print(*sys.modules)"
+    ran = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT,
+                         timeout=LIMIT)
+    assert ran.returncode == 0, ran.stderr
+    assert not {name.partition(".")[0] for name in ran.stdout.split()} & set(NOT_IN_THE_DAEMON)
