Attempts and their messages no longer import each other; a test of the floors

Cause: net/messages.py named InvokerCall in two of its messages, and net/invoker.py sends them.

Change: the messages name an attempt by a small protocol; its owner, who alone compares it with the one that it began, keeps the class. An attempt's number would not tell attempts apart where a resumed connection is tried again: those all have number 0. Behaviour is unchanged.

tests/test_layout.py parses every module (imports inside functions and for type checking count) and refuses circles, imports of a higher floor from a lower one, and modules that stand on no floor. There is no exception today. Its own check: small broken layouts are found.

--- a/saltcourse/net/consumer.py
+++ b/saltcourse/net/consumer.py
@@ -317,8 +317,8 @@
         match message:
             case Place():
                 self._place(message)
-            case CallUp(call, line) if call is self.call:
-                await self._up(call, line)
+            case CallUp(call, line) if self.call is not None and call is self.call:
+                await self._up(self.call, line)
             case CallEnded(call, status, reset) if call is self.call:
                 await self._call_ended(status, reset)
             case ClientEnded(reset):
--- a/saltcourse/net/messages.py
+++ b/saltcourse/net/messages.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from saltcourse import interface as lg
 from saltcourse.wire.members import Address, Listing
 
-if TYPE_CHECKING:
-    from saltcourse.net.invoker import InvokerCall
+
+class Attempt(Protocol):
+    """One attempt of a request at a server, as its messages name it. It is told from others by identity: all
+    attempts to bring a connection back that stood before this program's start have the same number."""
+
+    attempt: int  # its number within the request
+    server: str
 
 
 @dataclass(slots=True)
@@ -44,7 +49,7 @@
 class CallUp:
     """The provider took the connection; ``line`` is its receipt."""
 
-    call: InvokerCall
+    call: Attempt
     line: bytes
 
 
@@ -52,7 +57,7 @@
 class CallEnded:
     """The call is over: before UP with any status, after it with how the connection ended."""
 
-    call: InvokerCall
+    call: Attempt
     status: lg.Status
     reset: bool
 
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,159 @@
+"""How the modules of saltcourse may import each other: downwards between floors, and never in a circle.
+
+The source is parsed, not imported: imports inside functions and those for type checking alone count as well.
+"""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent / "saltcourse"
+ENTRY, HOSTS, CHOICES, WORDS = 3, 2, 1, 0  # floors, the lowest is 0
+BESIDE = 4  # may import everything; nothing on the floors imports it
+FLOORS = {  # of a module, or of all of a package; the longest name that fits counts
+    "saltcourse": ENTRY,  # the package's own file: the version, and the module when it is asked for
+    "saltcourse.__main__": ENTRY,
+    "saltcourse.cli": ENTRY,
+    "saltcourse.benchlink": ENTRY,
+    "saltcourse.net": HOSTS,
+    "saltcourse.admin": HOSTS,
+    "saltcourse.membership": HOSTS,
+    "saltcourse.gossip.host": HOSTS,
+    "saltcourse.gossip.store": HOSTS,
+    "saltcourse.policy": CHOICES,
+    "saltcourse.delay": CHOICES,
+    "saltcourse.drain": CHOICES,
+    "saltcourse.fleet": CHOICES,
+    "saltcourse.gossip": CHOICES,
+    "saltcourse.membership.election": CHOICES,
+    "saltcourse.interface": WORDS,
+    "saltcourse.settings": WORDS,
+    "saltcourse.config": WORDS,
+    "saltcourse.wire": WORDS,
+    "saltcourse.schema": WORDS,
+    "saltcourse.signals": WORDS,
+    "saltcourse.figures": WORDS,
+    "saltcourse.fleet.words": WORDS,
+    "saltcourse.gossip.messages": WORDS,
+    "saltcourse.gossip.settings": WORDS,
+    "saltcourse.membership.words": WORDS,
+    "saltcourse.membership.seal": WORDS,  # the codec of sealed messages, and of the keys for them
+    "saltcourse.emulator": BESIDE,
+}
+PLANNED = {"saltcourse.gossip.host", "saltcourse.gossip.store"}  # of these; not there yet
+ROOT = "saltcourse"  # its floor is its own file's alone: a new module or package below it names its own
+
+Imports = dict[str, set[str]]  # module -> modules of the same package that it imports
+
+
+def modules_of(package: Path) -> dict[str, Path]:
+    """The package's modules by their dotted names; a package's own file has the package's name."""
+    found = {}
+    for path in package.rglob("*.py"):
+        parts = path.relative_to(package.parent).with_suffix("").parts
+        found[".".join(parts[:-1] if parts[-1] == "__init__" else parts)] = path
+    return found
+
+
+def imported_names(module: str, path: Path) -> set[str]:
+    """Dotted names that a module imports, each with the names taken from it as if they were modules."""
+    names = set()
+    package = module.split(".") if path.name == "__init__.py" else module.split(".")[:-1]
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            above = package[:len(package) - node.level + 1] if node.level else []
+            origin = ".".join([*above, *([node.module] if node.module else [])])
+            names |= {f"{origin}.{alias.name}" for alias in node.names}
+    return names
+
+
+def imports_of(package: Path) -> Imports:
+    modules = modules_of(package)
+
+    def module_in(name: str) -> str | None:
+        while name and name not in modules:
+            name = name.rpartition(".")[0]
+        return name or None
+
+    found: Imports = {}
+    for module, path in modules.items():
+        targets = {module_in(name) for name in imported_names(module, path)}
+        found[module] = {target for target in targets if target is not None} - {module}
+    return found
+
+
+def circles(imports: Imports) -> list[list[str]]:
+    """Groups of modules of which each imports, directly or not, each other one."""
+    reach: Imports = {module: set(targets) for module, targets in imports.items()}
+    grown = True
+    while grown:
+        grown = False
+        for targets in reach.values():
+            further = set().union(*[reach[target] for target in targets]) - targets
+            targets |= further
+            grown = grown or bool(further)
+    groups = {frozenset([module, *[other for other in targets if module in reach[other]]])
+              for module, targets in reach.items() if module in targets}
+    return sorted(sorted(group) for group in groups)
+
+
+def floor_of(module: str) -> int | None:
+    if module in FLOORS:
+        return FLOORS[module]
+    package = module.rpartition(".")[0]
+    return floor_of(package) if package and package != ROOT else None
+
+
+def upward(imports: Imports) -> list[str]:
+    """Imports of a higher floor from a lower one, and modules that stand on no floor."""
+    found = [f"{module} stands on no floor" for module in imports if floor_of(module) is None]
+    for module, targets in imports.items():
+        for target in targets:
+            low, high = floor_of(module), floor_of(target)
+            if low is not None and high is not None and low < high:
+                found.append(f"{module} imports {target}")
+    return sorted(found)
+
+
+def test_no_modules_import_each_other() -> None:
+    assert circles(imports_of(PACKAGE)) == []
+
+
+def test_imports_run_downwards_between_floors() -> None:
+    assert upward(imports_of(PACKAGE)) == []
+
+
+def test_each_entry_of_the_floors_stands_for_something() -> None:
+    """So that the table keeps up with renames."""
+    assert set(FLOORS) - set(modules_of(PACKAGE)) <= PLANNED
+
+
+@pytest.mark.parametrize(("sources", "circle", "up"), [
+    ({"net/a.py": "from saltcourse.net.b import B", "net/b.py": "from saltcourse.net import a"},
+     [["saltcourse.net.a", "saltcourse.net.b"]], []),
+    ({"net/a.py": "import saltcourse.net.b\n",
+      "net/b.py": "if TYPE_CHECKING:\n    from saltcourse.net.c import C",
+      "net/c.py": "def late():\n    from . import a"},
+     [["saltcourse.net.a", "saltcourse.net.b", "saltcourse.net.c"]], []),
+    ({"policy.py": "from saltcourse.net.a import A", "net/a.py": ""},
+     [], ["saltcourse.policy imports saltcourse.net.a"]),
+    ({"net/a.py": "from ..emulator import simnet", "emulator/simnet.py": "import saltcourse.net.b",
+      "net/b.py": "from ..policy import Balancer", "policy.py": "import saltcourse_other.net"},
+     [], ["saltcourse.net.a imports saltcourse.emulator.simnet"]),
+    ({"attic.py": ""}, [], ["saltcourse.attic stands on no floor"]),
+])
+def test_what_breaks_the_rules_is_found(tmp_path: Path, sources: dict[str, str], circle: list[list[str]],
+                                        up: list[str]) -> None:
+    package = tmp_path / "saltcourse"
+    empty = {"__init__.py": "", "net/__init__.py": "", "emulator/__init__.py": ""}
+    for name, source in (empty | sources).items():
+        path = package / name
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(source)
+    imports = imports_of(package)
+    assert (circles(imports), upward(imports)) == (circle, up)
