Tests: golden messages of the proxies, and digests of all that two sites send

Need: the code of saltcourse/fleet is about to be renamed and retyped; the bytes on the wire, the moments of sending and the answers to the module have to stay as they are.

tests/test_fleet_golden.py holds texts of every kind of record, a digest of who sends what to whom and when in 20 s of a seeded site of 8 proxies (benchmarks/fleet.py, counts on, one message in twenty lost), and digests of messages and answers of two runs with losses, doubled messages, a cut, a stop, a restart, verdicts and scales.

--- /dev/null
+++ b/tests/test_fleet_golden.py
@@ -0,0 +1,90 @@
+"""What proxies of one version say to proxies of another: bytes and timing are as they have always been.
+
+The digests and the texts were taken from the program of commit 734bf4d and change only with VERSION.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from benchmarks.fleet import Site
+from saltcourse.emulator.simnet import Link
+from saltcourse.fleet.core import Sends
+from saltcourse.fleet.words import read, write
+from tests.test_fleet import Proxies, trouble
+
+GOLDEN = (  # of a site of 8 proxies within 20 s; the last two by hand
+    "277AAEtPS*",
+    "277ABTpNMgAAE",
+    "2gUAB7t3Q?ACA",
+    "2JgAAodV3-eCz8r6It",
+    "2J1ABEJ0A+uh9kJosX",
+    "2tUAB4FWO#0t-DAAC#6woaAAD#BcdyAAB#CVy5AAF#NWSaAAD#UstmAAL#YfrcAAE#aDowAAD#sGG0AAC#sRiZAAH"
+    "+CVy546-x-eCz85agV-YndhVZ_K",
+    "2fPAAqY-d+hsL6uuKv+hsL6wqEo#kSJWAAB+kSJW1hYl#sRiZAAI+sRiZ4xzl+sRiZO0Kp+sRiZY5XH+sRiZYwD-"
+    "+sRiZiUn1+sRiZldvk#uh9kAAF+uh9kJosX+uh9kNmjc+uh9kpCF6=AAA?AA2",
+    "2J1ABO2yQ#BcdyAAC+BcdyVUJg#C6NWAAI+C6NW-ZME+C6NW4WwJ+C6NWAM_o+C6NWHVP2+C6NWJdFN+C6NWUKgp"
+    "#CVy5AAH+CVy546-x+CVy5JkEz+CVy5XLmj+CVy5lyjr#Dqy5AAD+Dqy58d55+Dqy5aT3N#JhGPAAE+JhGPLLNy"
+    "+JhGPW2hY#NWSaAAI+NWSaW2hY+NWSaaT3N+NWSahb_8#RbrWAAF+RbrWB79-+RbrWbf_u+RbrWfbTM",
+    "2--------cAAAAAv04STAADIA=---wAA-gBAA!*",
+    "2AAAAAAAA",
+)
+
+
+@pytest.mark.parametrize("text", GOLDEN)
+def test_messages_of_other_proxies_are_read_and_written_as_ever(text: str) -> None:
+    assert write(read(text)) == text
+
+
+class RecordedSite(Site):
+    """A site that sums up what each proxy sends, when, and to whom."""
+
+    def __init__(self, size: int, counts: bool) -> None:
+        self.digest, self.messages = hashlib.blake2b(digest_size=16), 0
+        super().__init__(size, counts)
+
+    def send(self, i: int, sends: Sends) -> None:
+        for peer, text in sends:
+            self.messages += 1
+            self.digest.update(f"{self.net.now:.6f} {i} {peer} {text}\n".encode())
+        super().send(i, sends)
+
+
+def test_a_site_of_eight_proxies_sends_what_it_always_sent() -> None:
+    """One message in twenty lost, numbers of connections told, 20 s."""
+    site = RecordedSite(8, counts=True)
+    site.net.run(20.0)
+    assert (site.messages, site.sent, site.bytes) == (1285, 4075, 239863)
+    assert site.digest.hexdigest() == "48a192a047949130711d3c34964abcf7"
+
+
+class RecordedProxies(Proxies):
+    """Proxies with scales and probes besides, that sum up what they send and what they answer the module."""
+
+    def __init__(self, seed: int, link: Link) -> None:
+        self.digest = hashlib.blake2b(digest_size=16)
+        super().__init__(seed, link)
+
+    def _act(self, index: int) -> None:
+        super()._act(index)
+        core, now = self.cores[index], self.clock(index)
+        core.tell_scale(core.scale + self.random.random() - 0.4)
+        answers = (core.least_scale, core.pace(now), core.connections(now, "s1"), core.judged(now),
+                   core.held_elsewhere("s2", "g3"), core.may_probe(now, "s3"))
+        self.digest.update(repr(answers).encode())
+
+    def _send(self, index: int, sends: Sends) -> None:
+        for peer, text in sends:
+            self.digest.update(f"{self.net.now:.6f} {index} {peer} {text}\n".encode())
+        super()._send(index, sends)
+
+
+@pytest.mark.parametrize(("seed", "wanted"), [
+    (1, "7a9f9cf50f3c1d0329fdd606996b56d8"), (2, "cb2c4c3c29b3a4543c377bcb32130dc9")])
+def test_proxies_in_trouble_send_and_answer_what_they_always_did(seed: int, wanted: str) -> None:
+    """Losses, doubled messages, a cut, a stop and a restart."""
+    proxies = RecordedProxies(seed, Link(delay=(0.0017, 0.3), loss=0.2, double=0.2))
+    trouble(proxies)
+    assert proxies.digest.hexdigest() == wanted
