--- a/saltcourse/gossip/messages.py
+++ b/saltcourse/gossip/messages.py
@@ -223,15 +223,25 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """A change that a voter has accepted, and the publisher's epoch under which it did: not always
+    ``change.position.epoch``."""
+
+    epoch: int
+    change: Change
+
+
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """The sender takes nothing of an older epoch any more. ``committed`` is what it has applied; ``accepted``
-    the change behind it that it took from an earlier publisher and does not know to be committed."""
+    """The sender takes nothing of an older epoch any more. ``committed`` is what it has applied,
+    ``last_accepted`` the version up to which it has accepted changes (``committed.version``: none behind it).
+    It sends one Promise for each of those changes: what it holds is known when all of them have come."""
 
     epoch: int
     committed: Position
-    accepted: Change | None = None
-    accepted_epoch: int = 0  # under which it took it; not always ``accepted.position.epoch``
+    last_accepted: int
+    accepted: AcceptedChange | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -359,8 +369,7 @@
     promised: int = 0  # the newest epoch that it has promised or published under
     committed: Position = Position()
     configuration: tuple[tuple[str, bytes], ...] = ()  # at ``committed``, in the order of the keys
-    accepted: Change | None = None
-    accepted_epoch: int = 0
+    accepted: tuple[AcceptedChange, ...] = ()  # consecutive versions right behind ``committed``
 
 
 @dataclass(frozen=True, slots=True)
