--- a/saltcourse/cli_gossip.py
+++ b/saltcourse/cli_gossip.py
@@ -22,7 +22,7 @@
 from saltcourse.wire.members import Address, read_address
 
 
-class AddressType(click.ParamType):
+class AddressType(click.ParamType[Address]):
     """``HOST:PORT``."""
 
     name = "HOST:PORT"
--- a/saltcourse/gossip/codec.py
+++ b/saltcourse/gossip/codec.py
@@ -26,6 +26,7 @@
     CodecError,
     Reader,
     Reason,
+    encode_accepted_change,
     encode_address,
     encode_change,
     encode_list,
@@ -33,6 +34,7 @@
     encode_position,
     encode_text,
     encode_update,
+    read_accepted_change,
     read_change,
     read_member_record,
     read_position,
@@ -99,7 +101,7 @@
 SYNC_REQUEST = Struct("!QB")  # cursor, count of digests
 TALLY = Struct("!IIB")  # members, connections, length of the zone
 SNAPSHOT_PART = Struct("!IQIH")  # size, digest, offset, length of the data
-PROMISE = Struct("!IIB")  # epoch, epoch of the accepted change, whether there is one
+PROMISE = Struct("!IIB")  # epoch, last accepted version, whether an accepted change follows
 LEASE = Struct("!II")  # epoch, count
 CONFIGURATION_ITEM = Struct("!BH")  # lengths of key and value
 
@@ -264,16 +266,16 @@
 
 
 def _encode_promise(message: Promise) -> bytes:
-    change = b"" if message.accepted is None else encode_change(message.accepted)
-    fixed = PROMISE.pack(message.epoch, message.accepted_epoch, message.accepted is not None)
-    return encode_position(message.committed) + fixed + change
+    accepted = b"" if message.accepted is None else encode_accepted_change(message.accepted)
+    fixed = PROMISE.pack(message.epoch, message.last_accepted, message.accepted is not None)
+    return encode_position(message.committed) + fixed + accepted
 
 
 def _read_promise(reader: Reader) -> Promise:
     committed = read_position(reader)
-    epoch, accepted_epoch, flag = reader.unpack(PROMISE)
-    accepted = read_change(reader) if _read_flag(flag) else None
-    return Promise(epoch, committed, accepted, accepted_epoch)
+    epoch, last_accepted, flag = reader.unpack(PROMISE)
+    accepted = read_accepted_change(reader) if _read_flag(flag) else None
+    return Promise(epoch, committed, last_accepted, accepted)
 
 
 def _encode_propose(message: Propose) -> bytes:
--- a/saltcourse/gossip/fields.py
+++ b/saltcourse/gossip/fields.py
@@ -18,6 +18,7 @@
     MAX_KEY_BYTES,
     MAX_LABEL_BYTES,
     MAX_NAME_BYTES,
+    AcceptedChange,
     Address,
     Change,
     MemberRecord,
@@ -210,6 +211,10 @@
     return data
 
 
+def encode_accepted_change(accepted: AcceptedChange) -> bytes:
+    return U32.pack(accepted.epoch) + encode_change(accepted.change)
+
+
 # ---- readers ----------------------------------------------------------------------------------------
 
 
@@ -269,3 +274,7 @@
     if reader.offset - start > MAX_CHANGE_BYTES:
         raise CodecError(Reason.SCHEMA, "a change is too long")
     return change
+
+
+def read_accepted_change(reader: Reader) -> AcceptedChange:
+    return AcceptedChange(reader.number(U32), read_change(reader))
--- a/saltcourse/gossip/host.py
+++ b/saltcourse/gossip/host.py
@@ -212,7 +212,9 @@
     def _transmit(self, destination: Address, datagram: bytes) -> None:
         if self._transport is None:
             return
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        # Of every asyncio transport that writes; its type lacks it.
+        unsent: int = self._transport.get_write_buffer_size()  # type: ignore[attr-defined]
+        if unsent > MAX_UNSENT_BYTES:
             self.datagrams["unsent"] += 1
             return
         self.datagrams["sent"] += 1
--- a/tests/test_gossip_codec.py
+++ b/tests/test_gossip_codec.py
@@ -63,6 +63,7 @@
 updates = st.lists(records | status_updates | zone_sums, max_size=6).map(tuple)
 writes = st.tuples(texts(m.MAX_KEY_BYTES), st.none() | st.binary(max_size=60))
 changes = st.builds(m.Change, positions, st.lists(writes, max_size=4).map(tuple))
+accepted_changes = st.builds(m.AcceptedChange, u32, changes)
 
 
 @st.composite
@@ -87,7 +88,7 @@
     m.SnapshotFetch: st.builds(m.SnapshotFetch, positions, st.integers(0, m.MAX_CONFIGURATION_BYTES)),
     m.SnapshotPart: snapshot_parts(),
     m.Prepare: st.builds(m.Prepare, u32),
-    m.Promise: st.builds(m.Promise, u32, positions, st.none() | changes, u32),
+    m.Promise: st.builds(m.Promise, u32, positions, u32, st.none() | accepted_changes),
     m.Propose: st.builds(m.Propose, u32, changes),
     m.Accepted: st.builds(m.Accepted, u32, positions),
     m.LeaseRequest: st.builds(m.LeaseRequest, u32, u32),
@@ -265,7 +266,7 @@
     most = m.MAX_CHANGE_BYTES - change_size(m.Change(m.Position(), (("k", b""),)))
     fits = m.Change(m.Position(1, 1), (("k", b"v" * most),))
     assert change_size(fits) == m.MAX_CHANGE_BYTES
-    for message in (m.Propose(1, fits), m.Promise(1, m.Position(1, 1), fits, 1), m.Changes((fits,))):
+    for message in (m.Propose(1, fits), m.Promise(1, m.Position(1, 1), 2, m.AcceptedChange(1, fits)), m.Changes((fits,))):
         assert CODEC.decode(CODEC.encode(HEADER, message))[1] == message
     with pytest.raises(ValueError):
         change_size(m.Change(m.Position(1, 1), (("k", b"v" * (most + 1)),)))
