Gossip: a waiting answer gives way to a newer one to the same member

Change: a queue by priority in which a configuration message takes the place of an older one of its kind to the same member.

--- a/saltcourse/gossip/node.py
+++ b/saltcourse/gossip/node.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterable
 
 from saltcourse.gossip.aggregation import Aggregation
@@ -42,10 +42,10 @@
     Transmit,
 )
 from saltcourse.gossip.quorum import Beat, Commit, Quorum, QuorumAction
+from saltcourse.gossip.send_queue import SendQueue
 from saltcourse.gossip.settings import NodeSettings
 
 BURST_SECONDS = 2.0  # of the byte budget that may be spent at once
-WAITING_SENDS = {Priority.CONFIGURATION: 32, Priority.MEMBERSHIP: 8, Priority.BULK: 8}  # the oldest give way
 NEVER = float("inf")
 
 
@@ -71,9 +71,7 @@
         self._voter_ids = frozenset(v.id for v in settings.voters)
         self._codec = Codec(settings.key)
         self._budget = TokenBucket(settings.bytes_per_s, BURST_SECONDS * settings.bytes_per_s)
-        self._waiting: dict[Priority, deque[Send]] = {
-            priority: deque(maxlen=most) for priority, most in WAITING_SENDS.items()
-        }
+        self._waiting = SendQueue()
         self._actions: list[Action] = []
 
     # ---- events -----------------------------------------------------------------------------------
@@ -222,13 +220,11 @@
             if send.priority is Priority.PROBE:
                 self._budget.force(now, self._transmit(send))
             else:
-                self._waiting[send.priority].append(send)
+                self._waiting.push(send)
 
     def _send_waiting(self, now: float) -> None:
-        for priority in sorted(self._waiting):
-            queue = self._waiting[priority]
-            while queue and self._budget.available(now) > 0:
-                self._budget.force(now, self._transmit(queue.popleft()))
+        while self._waiting and self._budget.available(now) > 0:
+            self._budget.force(now, self._transmit(self._waiting.pop()))
 
     def _transmit(self, send: Send) -> int:
         """Bytes that it takes from the budget. The header tells what holds now, not when it was queued."""
@@ -244,9 +240,7 @@
         return Header(me.id, me.incarnation, me.process, part.position, part.heartbeat)
 
     def _budget_deadline(self) -> float:
-        if not any(self._waiting.values()):
-            return NEVER
-        return self._budget.available_at()
+        return self._budget.available_at() if self._waiting else NEVER
 
     # ---- figures ----------------------------------------------------------------------------------
 
@@ -262,6 +256,7 @@
             "freshness": int(self.dissemination.freshness),
             "bytes.sent": self.sent_bytes,
             "bytes.received": self.received_bytes,
+            "sends.dropped": self._waiting.dropped,
         }
         found |= {f"dropped.{reason}": count for reason, count in sorted(self.dropped.items())}
         found |= self.membership.figures()
