Gossip: the file in which a voter keeps its promises and accepted changes

Need: a voter that forgets what it promised or accepted can undo a committed change. Change: an SQLite file as membership/store.py has it: exclusive lock, synchronous=FULL, a digest over all rows, named errors; a save writes only what has changed, and a failed one closes the store. The queue of operators' changes finds its next deadline without a walk over all of them; schedules of the quorum's checker are 8 s long.

--- a/saltcourse/emulator/gossip_quorum.py
+++ b/saltcourse/emulator/gossip_quorum.py
@@ -345,7 +345,7 @@
     SPLIT = auto()
 
 
-def play(seed: int, core: type[Quorum] = Quorum, seconds: float = 10.0) -> World:
+def play(seed: int, core: type[Quorum] = Quorum, seconds: float = 8.0) -> World:
     """One random schedule of faults, then a connected majority that must commit; ``Broken`` or
     ``Stuck`` if a property does not hold.
 
--- a/saltcourse/gossip/publish_queue.py
+++ b/saltcourse/gossip/publish_queue.py
@@ -18,54 +18,63 @@
 
 
 class PublishQueue:
-    """In the order in which the operators asked."""
+    """In the order in which the operators asked, which is the order of the deadlines too."""
 
     def __init__(self) -> None:
-        self._waiting: deque[PendingPublish] = deque()
-        self._proposed: dict[Position, PendingPublish] = {}
+        self._pending: dict[int, PendingPublish] = {}  # by number, in the order of asking
+        self._waiting: deque[int] = deque()
+        self._proposed: dict[Position, int] = {}
+        self._last_number = 0
 
     def __len__(self) -> int:
-        return len(self._waiting) + len(self._proposed)
+        return len(self._pending)
 
     @property
     def full(self) -> bool:
-        return len(self) >= MAX_PENDING
+        return len(self._pending) >= MAX_PENDING
 
     @property
     def waiting(self) -> int:
         return len(self._waiting)
 
     def add(self, event: Publish, deadline: float) -> None:
-        self._waiting.append(PendingPublish(event, deadline))
+        self._last_number += 1
+        self._pending[self._last_number] = PendingPublish(event, deadline)
+        self._waiting.append(self._last_number)
 
-    def take(self) -> PendingPublish:
-        """The next one to be proposed."""
-        return self._waiting.popleft()
+    def next_waiting(self) -> Publish:
+        return self._pending[self._waiting[0]].event
 
-    def proposed(self, position: Position, pending: PendingPublish) -> None:
-        self._proposed[position] = pending
+    def refuse(self) -> None:
+        """Forgets the next waiting one."""
+        del self._pending[self._waiting.popleft()]
 
-    def committed(self, position: Position) -> PendingPublish | None:
+    def propose(self, position: Position) -> None:
+        """The next waiting one is proposed at this position."""
+        self._proposed[position] = self._waiting.popleft()
+
+    def commit(self, position: Position) -> Publish | None:
         """The one that was proposed at this position, if it was proposed here and its time is not up.
 
-        Where another change has taken its version, the one proposed here can't be committed any more; it is
-        proposed anew.
+        Where another change has taken its version, the one proposed here can't be committed any more: it
+        waits again, ahead of the others.
         """
-        found = self._proposed.pop(position, None)
-        replaced = [p for p in self._proposed if p.version == position.version]
+        replaced = [p for p in self._proposed if p.version == position.version and p != position]
         for other in sorted(replaced, reverse=True):
             self._waiting.appendleft(self._proposed.pop(other))
-        return found
+        number = self._proposed.pop(position, None)
+        return None if number is None else self._pending.pop(number).event
 
-    def expire(self, now: float) -> list[PendingPublish]:
+    def expire(self, now: float) -> list[Publish]:
         """Forgets those whose time is up. One that was proposed may still be committed."""
-        expired = [p for p in self._all() if p.deadline <= now]
-        self._waiting = deque(p for p in self._waiting if p.deadline > now)
-        self._proposed = {at: p for at, p in self._proposed.items() if p.deadline > now}
-        return expired
+        expired = [number for number, pending in self._pending.items() if pending.deadline <= now]
+        if not expired:
+            return []
+        self._waiting = deque(number for number in self._waiting if number not in expired)
+        self._proposed = {p: number for p, number in self._proposed.items() if number not in expired}
+        return [self._pending.pop(number).event for number in expired]
 
     def next_deadline(self) -> float:
-        return min((pending.deadline for pending in self._all()), default=NEVER)
-
-    def _all(self) -> list[PendingPublish]:
-        return [*self._proposed.values(), *self._waiting]
+        for pending in self._pending.values():
+            return pending.deadline
+        return NEVER
--- a/saltcourse/gossip/quorum.py
+++ b/saltcourse/gossip/quorum.py
@@ -377,13 +377,13 @@
         if self._recovered:
             return self._recovered.popleft()
         while self._queue.waiting:
-            pending = self._queue.take()
-            if not self._projected.fits(pending.event.writes):
-                self._results.append(PublishFailed(pending.event.token, PublishError.TOO_LARGE))
-                continue
-            position = Position(self._epoch, self._last_proposed + 1)
-            self._queue.proposed(position, pending)
-            return Change(position, pending.event.writes)
+            event = self._queue.next_waiting()
+            if self._projected.fits(event.writes):
+                position = Position(self._epoch, self._last_proposed + 1)
+                self._queue.propose(position)
+                return Change(position, event.writes)
+            self._queue.refuse()
+            self._results.append(PublishFailed(event.token, PublishError.TOO_LARGE))
         return None
 
     def _propose(self, change: Change) -> None:
@@ -500,13 +500,13 @@
     # ---- operators --------------------------------------------------------------------------------
 
     def _tell_published(self, position: Position) -> None:
-        pending = self._queue.committed(position)
-        if pending is not None:
-            self._results.append(Published(pending.event.token, position))
+        event = self._queue.commit(position)
+        if event is not None:
+            self._results.append(Published(event.token, position))
 
     def _expire(self, now: float) -> None:
-        for pending in self._queue.expire(now):
-            self._results.append(PublishFailed(pending.event.token, PublishError.NO_MAJORITY))
+        for event in self._queue.expire(now):
+            self._results.append(PublishFailed(event.token, PublishError.NO_MAJORITY))
 
     # ---- actions ----------------------------------------------------------------------------------
 
--- /dev/null
+++ b/saltcourse/gossip/store.py
@@ -0,0 +1,190 @@
+"""Where a voter keeps its ``ReplicaState``: an SQLite file that this process alone has open.
+
+SQLite because it is in the standard library and, with ``synchronous=FULL``, durable against power loss. A
+save is one transaction and writes only what has changed since the last one. A file that is torn, foreign or
+another member's is an error that names it: to begin anew could mean to accept what was promised not to be.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import sqlite3
+from pathlib import Path
+
+from saltcourse.gossip.messages import AcceptedChange, Change, Position, ReplicaState, Write
+
+APPLICATION = 0x53616C72  # PRAGMA application_id: "Salr"
+VERSION = 1  # PRAGMA user_version: of the tables below
+SCHEMA = (
+    "CREATE TABLE replica (one INTEGER PRIMARY KEY CHECK (one = 1), member TEXT NOT NULL,"
+    " promised INTEGER NOT NULL, epoch INTEGER NOT NULL, version INTEGER NOT NULL,"
+    " digest TEXT NOT NULL) STRICT",
+    "CREATE TABLE configuration (key TEXT PRIMARY KEY, value BLOB NOT NULL) STRICT, WITHOUT ROWID",
+    "CREATE TABLE accepted (version INTEGER PRIMARY KEY, accepted_epoch INTEGER NOT NULL,"
+    " epoch INTEGER NOT NULL) STRICT",
+    "CREATE TABLE accepted_write (version INTEGER NOT NULL, number INTEGER NOT NULL, key TEXT NOT NULL,"
+    " value BLOB, PRIMARY KEY (version, number)) STRICT, WITHOUT ROWID",
+)
+
+
+class StoreError(Exception):
+    """The file can't be used; the text names it and says why."""
+
+
+class ReplicaStore:
+    """``load`` returns None on a first start. All errors are StoreError.
+
+    After a failed ``save`` nobody knows what is on the disk: the store is closed, and the voter must end.
+    """
+
+    def __init__(self, file: Path, me: str) -> None:
+        self.file = file
+        self.me = me
+        self._saved: ReplicaState | None = None  # what the tables hold; None: not loaded yet
+        try:
+            self._open()
+        except (OSError, sqlite3.Error) as error:
+            raise self._error(str(error)) from None
+
+    def load(self) -> ReplicaState | None:
+        try:
+            row = self._db.execute("SELECT member, promised, epoch, version, digest FROM replica").fetchone()
+            if row is None:
+                self._saved = ReplicaState()
+                return None
+            member, promised, epoch, version, digest = row
+            configuration = tuple(self._db.execute("SELECT key, value FROM configuration ORDER BY key"))
+            accepted = self._load_accepted()
+        except sqlite3.Error as error:
+            raise self._error(str(error)) from None
+        if member != self.me:
+            raise self._error(f"holds the state of {member}, not of {self.me}")
+        state = ReplicaState(promised, Position(epoch, version), configuration, accepted)
+        if digest != _digest(member, state):
+            raise self._error("torn: the digest does not fit")
+        self._saved = state
+        return state
+
+    def save(self, state: ReplicaState) -> None:
+        """Returns when it is on the disk."""
+        if self._saved is None:
+            self.load()
+        saved = self._saved or ReplicaState()
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            self._save_configuration(saved, state)
+            self._save_accepted(saved, state)
+            committed = state.committed
+            self._db.execute("INSERT OR REPLACE INTO replica VALUES (1, ?, ?, ?, ?, ?)",
+                             (self.me, state.promised, committed.epoch, committed.version,
+                              _digest(self.me, state)))
+            self._db.execute("COMMIT")
+        except sqlite3.Error as error:
+            self.close()
+            raise self._error(str(error)) from None
+        self._saved = state
+
+    def close(self) -> None:
+        self._db.close()
+
+    # ---- the file ---------------------------------------------------------------------------------
+
+    def _open(self) -> None:
+        new = not self.file.exists() or self.file.stat().st_size == 0
+        self._db = sqlite3.connect(self.file, isolation_level=None, timeout=0.0)
+        # Exclusive: two processes with one state between them would be two voters.
+        self._db.execute("PRAGMA locking_mode=EXCLUSIVE")
+        self._db.execute("PRAGMA synchronous=FULL")
+        self._db.execute("BEGIN IMMEDIATE")
+        if new:
+            self._create()
+        self._db.execute("COMMIT")
+        self._check()
+
+    def _create(self) -> None:
+        self._db.execute(f"PRAGMA application_id={APPLICATION}")
+        self._db.execute(f"PRAGMA user_version={VERSION}")
+        for statement in SCHEMA:
+            self._db.execute(statement)
+
+    def _check(self) -> None:
+        if self._pragma("application_id") != APPLICATION:
+            raise self._error("not a replica file of this program")
+        version = self._pragma("user_version")
+        if version != VERSION:
+            raise self._error(f"form {version}, this program reads {VERSION}")
+        found = self._pragma("quick_check")
+        if found != "ok":
+            raise self._error(f"torn: {found}")
+
+    def _pragma(self, name: str) -> int | str:
+        value: int | str = self._db.execute(f"PRAGMA {name}").fetchone()[0]
+        return value
+
+    def _error(self, reason: str) -> StoreError:
+        return StoreError(f"{self.file}: {reason}")
+
+    # ---- the tables -------------------------------------------------------------------------------
+
+    def _load_accepted(self) -> tuple[AcceptedChange, ...]:
+        rows = self._db.execute(
+            "SELECT version, accepted_epoch, epoch FROM accepted ORDER BY version").fetchall()
+        return tuple(
+            AcceptedChange(accepted_epoch, Change(Position(epoch, version), self._load_writes(version)))
+            for version, accepted_epoch, epoch in rows)
+
+    def _load_writes(self, version: int) -> tuple[Write, ...]:
+        return tuple(self._db.execute(
+            "SELECT key, value FROM accepted_write WHERE version = ? ORDER BY number", (version,)))
+
+    def _save_configuration(self, saved: ReplicaState, state: ReplicaState) -> None:
+        old = dict(saved.configuration)
+        new = dict(state.configuration)
+        deleted = [(key,) for key in old if key not in new]
+        written = [(key, value) for key, value in new.items() if old.get(key) != value]
+        self._db.executemany("DELETE FROM configuration WHERE key = ?", deleted)
+        self._db.executemany("INSERT OR REPLACE INTO configuration VALUES (?, ?)", written)
+
+    def _save_accepted(self, saved: ReplicaState, state: ReplicaState) -> None:
+        for entry in set(saved.accepted) - set(state.accepted):
+            version = entry.change.position.version
+            self._db.execute("DELETE FROM accepted WHERE version = ?", (version,))
+            self._db.execute("DELETE FROM accepted_write WHERE version = ?", (version,))
+        for entry in set(state.accepted) - set(saved.accepted):
+            position = entry.change.position
+            self._db.execute("INSERT INTO accepted VALUES (?, ?, ?)",
+                             (position.version, entry.epoch, position.epoch))
+            self._db.executemany(
+                "INSERT INTO accepted_write VALUES (?, ?, ?, ?)",
+                [(position.version, number, key, value)
+                 for number, (key, value) in enumerate(entry.change.writes)])
+
+
+def _digest(member: str, state: ReplicaState) -> str:
+    """Of all that the tables hold. Each text and value has its length before it, so that none runs into the
+    next; -1 stands for a deleted key."""
+    digest = hashlib.sha256()
+
+    def add_number(number: int) -> None:
+        digest.update(number.to_bytes(8, "big", signed=True))
+
+    def add_item(key: str, value: bytes | None) -> None:
+        data = key.encode()
+        add_number(len(data))
+        digest.update(data)
+        add_number(-1 if value is None else len(value))
+        digest.update(value or b"")
+
+    add_item(member, b"")
+    for number in (state.promised, state.committed.epoch, state.committed.version):
+        add_number(number)
+    add_number(len(state.configuration))
+    for key, value in state.configuration:
+        add_item(key, value)
+    for entry in state.accepted:
+        position = entry.change.position
+        for number in (entry.epoch, position.epoch, position.version, len(entry.change.writes)):
+            add_number(number)
+        for name, new_value in entry.change.writes:
+            add_item(name, new_value)
+    return digest.hexdigest()
