--- a/saltcourse/gossip/control.py
+++ b/saltcourse/gossip/control.py
@@ -64,6 +64,7 @@
         server = self._serve_admin(admin)
         try:
             await self._stop.wait()
+            signals.ignore()  # it ends by itself in a moment
             await self._leave()
         finally:
             if server is not None:
--- a/tests/gossip_site.py
+++ b/tests/gossip_site.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from saltcourse.config.operator_gossip import GossipSettings
@@ -87,6 +88,9 @@
     hosts: dict[str, Host] = field(default_factory=dict)
     stores: dict[str, MemoryStore] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
+    cut_off: frozenset[str] = frozenset()  # nothing passes between these and the others
+    loss: float = 0.0  # share of all datagrams that get lost
+    random: Random = field(default_factory=lambda: Random(1))
 
     def __post_init__(self) -> None:
         names = [f"c{i}" for i in range(self.controls)] + [f"p{i}" for i in range(self.proxies)]
@@ -117,12 +121,30 @@
             settings = self.settings(name)
             store = self.stores.setdefault(name, MemoryStore()) if name.startswith("c") else None
             host = create_host(settings, store.state if store else None, store)
+            self.intercept(name, host)
             await host.start(settings.listen)
             self.hosts[name] = host
 
-    def kill(self, name: str) -> None:
+    def intercept(self, name: str, host: Host) -> None:
+        """Datagrams pass as the site's faults let them."""
+        transmit = host._transmit
+
+        def faulty(destination: Address, datagram: bytes) -> None:
+            if self.passes(name, destination):
+                transmit(destination, datagram)
+
+        host._transmit = faulty  # type: ignore[method-assign]
+
+    def passes(self, sender: str, destination: Address) -> bool:
+        receiver = next((name for name, address in self.addresses.items() if address == destination), None)
+        if (sender in self.cut_off) != (receiver in self.cut_off):
+            return False
+        return self.random.random() >= self.loss
+
+    async def kill(self, name: str) -> None:
         """As kill -9 does: the socket is gone and nothing is said."""
         self.hosts.pop(name).close()
+        await asyncio.sleep(0.01)  # asyncio closes a socket in the loop's next round
 
     def close(self) -> None:
         for host in self.hosts.values():
--- a/tests/test_gossip_host.py
+++ b/tests/test_gossip_host.py
@@ -38,7 +38,7 @@
             assert set(positions.values()) == {first.position}
             assert all(site.stores[name].saves for name in ("c0", "c1", "c2"))
 
-            site.kill("c1")
+            await site.kill("c1")
             second = await site.hosts["c2"].publish((("greeting", b"two"), ("other", None)))
             assert isinstance(second, m.Published) and second.position > first.position
             await site.all_have("greeting", b"two")
@@ -95,8 +95,8 @@
             await site.start()
             await site.all_know(4)
             assert isinstance(await site.hosts["c0"].publish((("k", b"1"),)), m.Published)
-            site.kill("c1")
-            site.kill("c2")
+            await site.kill("c1")
+            await site.kill("c2")
             failed = await site.hosts["c0"].publish((("k", b"2"),))
             assert isinstance(failed, m.PublishFailed) and failed.error is m.PublishError.NO_MAJORITY
             stale = m.Freshness.STALE
