--- a/tests/test_gossip_faults.py
+++ b/tests/test_gossip_faults.py
@@ -99,6 +99,7 @@
         assert dict(joiner.node.dissemination.configuration) == dict(
             site.hosts["c0"].node.dissemination.configuration
         )
+        assert figure(site, "p5", "snapshot_transfers") == 1
 
     at_a_site(run)
 
--- a/tests/test_gossip_host.py
+++ b/tests/test_gossip_host.py
@@ -331,6 +331,7 @@
     what_is_wrong_is_said(fleet)
     the_overlay(fleet)
     a_killed_control_member(fleet)
+    a_process_that_stands_still(fleet)
     everyone_leaves(fleet)
 
 
@@ -399,6 +400,14 @@
     assert call(fleet.admin["c1"], "/_gossip/configuration").json["version"] > version
 
 
+def a_process_that_stands_still(fleet: Processes) -> None:
+    fleet.running["p1"].send_signal(signal.SIGSTOP)
+    wait_for(lambda: fleet.statuses("c0")["p1"] == "dead", "found dead")
+    fleet.running["p1"].send_signal(signal.SIGCONT)
+    wait_for(lambda: set(fleet.statuses("c0").values()) == {"alive"}, "back")
+    wait_for(lambda: set(fleet.statuses("p1").values()) == {"alive"}, "the others are alive for it")
+
+
 def everyone_leaves(fleet: Processes) -> None:
     assert fleet.end("p1") == 0
     wait_for(lambda: fleet.statuses("c0")["p1"] == "left", "its goodbye came")
