--- a/saltcourse/gossip/admin.py
+++ b/saltcourse/gossip/admin.py
@@ -51,7 +51,7 @@
                 "role": member.record.role.name.lower(),
                 "status": member.status.name.lower(),
                 "incarnation": member.record.incarnation,
-                "since_s": round(now - member.since, 1),
+                "since_s": round(now - max(member.since, self._host.started_at), 1),
             }
             for member in node.membership.members.values()
         ]
--- a/saltcourse/gossip/host.py
+++ b/saltcourse/gossip/host.py
@@ -80,6 +80,7 @@
     ) -> None:
         self.node = node
         self.datagrams: Counter[str] = Counter()
+        self.started_at = 0.0
         self._store = store
         self._on_applied = on_applied
         self._on_failure = on_failure
@@ -96,7 +97,8 @@
     async def start(self, address: Address) -> None:
         """OSError when the address can't be had."""
         await self._loop.create_datagram_endpoint(lambda: self, local_addr=address)
-        self._carry_out(self.node.start(self._clock()))
+        self.started_at = self._clock()
+        self._carry_out(self.node.start(self.started_at))
         self._arm()
 
     def leave(self) -> None:
--- a/tests/gossip_site.py
+++ b/tests/gossip_site.py
@@ -220,7 +220,8 @@
 
 
 class Processes:
-    """Programs as staff would run them; each has its file, its log and its admin address."""
+    """Programs as staff would run them; each has its file, its log and its admin address. c0, c1, ... vote,
+    m0 is a control member without a vote, p0, p1, ... are proxies."""
 
     def __init__(self, folder: Path, names: list[str]) -> None:
         self.folder = folder
@@ -238,7 +239,7 @@
             for other in controls
         )
         seeds = "\n".join('  seed: "{}:{}"'.format(*self.gossip[other]) for other in controls)
-        own = f'role: CONTROL store_file: "{name}.store"' if name in controls else "role: PROXY"
+        own = {"c": f'role: CONTROL store_file: "{name}.store"', "m": "role: CONTROL", "p": ""}[name[0]]
         listen = "{}:{}".format(*self.gossip[name])
         file = self.folder / f"{name}.txtpb"
         file.write_text(
@@ -259,7 +260,7 @@
 
     def start(self, name: str) -> None:
         operator = ["--operator", str(self.operator_file(name))]
-        if name.startswith("c"):
+        if name.startswith(("c", "m")):
             arguments = ["control", *operator, "--admin", "{}:{}".format(*self.admin[name])]
         else:
             arguments = ["serve", *operator, "--config", str(self.config_file(name))]
--- a/tests/test_gossip_faults.py
+++ b/tests/test_gossip_faults.py
@@ -94,6 +94,7 @@
             assert isinstance(await site.hosts["c0"].publish(((f"k{number}", b"v" * 100),)), m.Published)
         await site.start("p5")
         joiner = site.hosts["p5"]
+        await until(lambda: freshness(site, "p5") is m.Freshness.BEHIND, "it knows that it is behind")
         assert await published(site, "c1", b"meanwhile")
         await site.all_have("k", b"meanwhile")
         assert dict(joiner.node.dissemination.configuration) == dict(
--- a/tests/test_gossip_host.py
+++ b/tests/test_gossip_host.py
@@ -17,7 +17,7 @@
 from saltcourse.gossip import messages as m
 from saltcourse.gossip.codec import Codec
 from saltcourse.gossip.event_log import LOG_INTERVAL, EventLog
-from saltcourse.gossip.host import Host, PersistError
+from saltcourse.gossip.host import MAX_UNSENT_BYTES, Host, PersistError
 from saltcourse.gossip.node import Node
 from saltcourse.gossip.run import figure_names
 from tests.gossip_site import EXAMPLE, KEY, Processes, Site, call, figure, until, wait_for
@@ -187,6 +187,7 @@
             await until(lambda: site.alive("p0") == 4, "the others know each other")
             assert site.alive("p1") == 1
             assert site.hosts["p1"].node.dissemination.freshness is m.Freshness.STALE
+            assert site.position("p1") == m.Position()
         finally:
             site.close()
 
@@ -277,6 +278,24 @@
     asyncio.run(run())
 
 
+def test_what_the_system_does_not_send_is_counted() -> None:
+    async def run() -> None:
+        node = ScriptedNode(m.Transmit(("::1", 9), b"an address of the other family"))
+        host = Host(cast(Node, node))
+        await host.start(("127.0.0.1", 0))
+        host.report_connections(1)
+        assert host.datagrams["errors"] == 1
+        transport = host._transport
+        assert transport is not None
+        transport.get_write_buffer_size = lambda: MAX_UNSENT_BYTES + 1  # type: ignore[attr-defined]
+        node.scripted = [m.Transmit(("127.0.0.1", 9), b"the socket takes no more")]
+        host.report_connections(2)
+        assert host.datagrams["unsent"] == 1
+        host.close()
+
+    asyncio.run(run())
+
+
 def test_a_wave_of_events_is_a_few_lines() -> None:
     async def run() -> None:
         events = EventLog()
@@ -303,9 +322,12 @@
 # ---- processes ---------------------------------------------------------------------------------------
 
 
+EVERYONE = ["c0", "c1", "c2", "m0", "p0", "p1"]
+
+
 @pytest.fixture
 def processes(tmp_path: Path) -> Iterator[Processes]:
-    found = Processes(tmp_path, ["c0", "c1", "c2", "p0", "p1"])
+    found = Processes(tmp_path, EVERYONE)
     yield found
     found.stop()
 
@@ -316,17 +338,20 @@
 
 def test_a_fleet_of_processes(processes: Processes) -> None:
     fleet = processes
-    everyone = ["c0", "c1", "c2", "p0", "p1"]
-    for name in everyone:
+    for name in EVERYONE:
         fleet.start(name)
-    for name in everyone:
+    for name in EVERYONE:
         wait_for(
-            lambda n=name: set(fleet.statuses(n).values()) == {"alive"} and len(fleet.statuses(n)) == 5,
+            lambda n=name: set(fleet.statuses(n).values()) == {"alive"} and len(fleet.statuses(n)) == 6,
             f"{name} knows all",
         )
-    for name in ("c0", "c1", "c2"):
+    for name in ("c0", "c1", "c2", "m0"):
         assert call(fleet.admin[name], "/_ready").status == 200
         assert call(fleet.admin[name], "/_lameduck/on", "PUT").status == 404
+    members = call(fleet.admin["p0"], "/_gossip/members").json["members"]
+    own = next(member for member in members if member["name"] == "p0")
+    assert (own["role"], own["zone"], own["region"]) == ("proxy", "z0", "here")
+    assert all(0 <= member["since_s"] < 60 for member in members)
     publishing_through_the_command(fleet)
     what_is_wrong_is_said(fleet)
     the_overlay(fleet)
@@ -338,7 +363,7 @@
 def publishing_through_the_command(fleet: Processes) -> None:
     done = fleet.publish("c0", "site/note=h\u00e9llo", "proxy/limits.sockets=500")
     assert (done.returncode, done.stderr) == (0, "") and done.stdout.startswith("published: epoch ")
-    for name in ("c0", "c1", "c2", "p0", "p1"):
+    for name in EVERYONE:
         wait_for(lambda n=name: values(fleet, n).get("site/note") == "h\u00e9llo", f"published to {name}")
     position = call(fleet.admin["p1"], "/_gossip/configuration").json
     assert f"version {position['version']}" in done.stdout and position["freshness"] == "current"
@@ -357,8 +382,9 @@
     ]:
         reply = call(admin, path, "PUT", body)
         assert reply.status == status and said in reply.body
-    refused = call(fleet.admin["p0"], path, "PUT", b'{"k": "v"}')
-    assert refused.status == 404 and b"no control member" in refused.body
+    for name in ("p0", "m0"):
+        refused = call(fleet.admin[name], path, "PUT", b'{"k": "v"}')
+        assert refused.status == 404 and b"no control member that votes" in refused.body
     assert call(admin, path, "POST", b"").status == 405
     at_proxy = fleet.publish("p0", "k=v")
     assert at_proxy.returncode == 1 and "404" in at_proxy.stderr
@@ -418,7 +444,8 @@
     wait_for(lambda: call(fleet.admin["c0"], "/_ready").status == 503, "no majority known")
     wait_for(lambda: figure(fleet.admin["p0"], "freshness") == m.Freshness.STALE, "stale")
     assert fleet.end("c0") == 0 and fleet.end("p0", signal.SIGINT) == 0
-    for name in ("c0", "c1", "c2", "p0", "p1"):
+    assert fleet.end("m0") == 0
+    for name in EVERYONE:
         assert "Traceback" not in fleet.log(name)
     gone = fleet.publish("c0", "k=v")
     assert gone.returncode == 1 and "not published" in gone.stderr
--- a/tests/test_gossip_operator.py
+++ b/tests/test_gossip_operator.py
@@ -8,7 +8,8 @@
 import socket
 import subprocess
 import sys
-import time
+import urllib.error
+import urllib.request
 from pathlib import Path
 
 import pytest
@@ -20,8 +21,9 @@
 from saltcourse.config.operator import read_operator
 from saltcourse.config.operator_gossip import GossipSettings
 from saltcourse.config.overlay import DISCOVERY_KEY, SOCKETS_KEY, ConfigurationSource
-from saltcourse.gossip.messages import Role
+from saltcourse.gossip.messages import ReplicaState, Role
 from saltcourse.gossip.settings import Timing
+from saltcourse.gossip.store import ReplicaStore, StoreError
 
 ROOT = Path(__file__).parent.parent
 EXAMPLE = ROOT / "example" / "config.json"
@@ -252,6 +254,18 @@
     assert "c0.store" in ended.stderr and "Traceback" not in ended.stderr
 
 
+def test_a_voter_whose_disk_fails_ends_with_code_1(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def full(store: ReplicaStore, state: ReplicaState) -> None:
+        raise StoreError("c0.store: database or disk is full")
+
+    monkeypatch.setattr(ReplicaStore, "save", full)
+    text = re.sub(r"  voter .*c[12].*\n", "", local(GOOD, free_port()))
+    text = text.replace("probe_interval_s: 2", "heartbeat_interval_s: 0.1 takeover_after_s: 0.2")
+    result = CliRunner().invoke(main, ["control", "--operator", str(write(tmp_path, text))])
+    assert result.exit_code == 1
+    assert "gossip.store_file: c0.store: database or disk is full" in result.output
+
+
 def test_a_change_of_the_section_is_told_on_sighup_and_waits_for_a_restart(tmp_path: Path) -> None:
     text = local(GOOD, free_port())
     file = write(tmp_path, text)
@@ -264,6 +278,8 @@
     assert process.stderr is not None
     try:
         assert 'event="gossip started"' in process.stderr.readline()
+        other = run("control", "--operator", str(write(tmp_path, local(GOOD, free_port()))))
+        assert other.returncode == 2 and "gossip.store_file" in other.stderr  # two processes, one vote
         write(tmp_path, text.replace("probe_interval_s: 2", "probe_interval_s: 3"))
         process.send_signal(signal.SIGHUP)
         line = process.stderr.readline()
@@ -305,7 +321,9 @@
     try:
         while "phase=serving" not in process.stderr.readline():
             assert process.poll() is None
-        time.sleep(0.1)
+        admin = json.loads((tmp_path / "config.json").read_text())["admin"]
+        with pytest.raises(urllib.error.HTTPError, match="404"):
+            urllib.request.urlopen(f"http://{admin}/_gossip/members", timeout=10)
         process.send_signal(signal.SIGTERM)
         modules = process.stdout.read().split()
         assert process.wait(10) == 0
