Fleet: standard names for files, classes and fields; nothing else changes

Need: the words of the earlier house style had to be learned before the code could be read.

Constants by what they bound. The names that operators read (svc.fleet.judged and the others) stay.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -23,7 +23,7 @@
 
 from saltcourse.emulator.simnet import Host, Link, Network
 from saltcourse.fleet.core import Fleet, Sends
-from saltcourse.fleet.words import read
+from saltcourse.fleet.codec import decode
 from saltcourse.interface import FleetTerms, RequestClass, Settings
 
 SIZES = (4, 40, 200)
@@ -95,7 +95,7 @@
         sender, text = event
         core = self.cores[int(host.name)]
         begin = time.process_time()
-        core.heard(self.net.now, sender, text)
+        core.receive(self.net.now, sender, text)
         self.cpu += time.process_time() - begin
         self.taken += 1
         if len(self.texts) < 20_000:
@@ -104,7 +104,8 @@
     def wrong(self) -> int:
         """Copies that differ from what their owner has told or is about to tell."""
         return sum(1 for i, core in enumerate(self.cores) for j, other in enumerate(self.cores)
-                   if i != j and (j not in core.peers or core.peers[j].copy.entries != other.table.told))
+                   if i != j and (j not in core.peers
+                                  or core.peers[j].replica.entries != other.table.announced))
 
 
 def measure(size: int, seconds: float, counts: bool) -> dict[str, float]:
@@ -115,14 +116,14 @@
     site.net.run(10.0 + seconds)
     begin = time.process_time()
     for text in site.texts:
-        read(text)
+        decode(text)
     control = (time.process_time() - begin) / max(1, len(site.texts))
     found = {
         "bytes_a_second_sent": site.bytes / seconds / size,
         "messages_a_second_sent": site.sent / seconds / size,
         "take_us": 1e6 * site.cpu / site.taken, "take_cpu_ratio": site.cpu / site.taken / control,
         "cpu_share_of_a_core": site.cpu / seconds / size,
-        "entries": sum(len(p.copy.entries) for p in site.cores[0].peers.values()),
+        "entries": sum(len(p.replica.entries) for p in site.cores[0].peers.values()),
     }
     lagging = []
     for _ in range(8):  # always some are a message behind: one in twenty is lost
--- a/saltcourse/net/decider.py
+++ b/saltcourse/net/decider.py
@@ -139,9 +139,9 @@
         """What this proxy knows of the others and may spend by it."""
         now, peers = self.clock.now(), self._balancer.peers
         known = [peers.connections(now, name) for name in self._balancer.servers]
-        return {"fleet.peers": len(peers.peers), "fleet.pace": round(1000 * peers.pace(now)),
-                "fleet.judged": len(peers.judged(now)), "fleet.connections": round(sum(known)),
-                "fleet.unreadable": peers.bad}
+        return {"fleet.peers": len(peers.peers), "fleet.pace": round(1000 * peers.relative_share(now)),
+                "fleet.judged": len(peers.ejected(now)), "fleet.connections": round(sum(known)),
+                "fleet.unreadable": peers.undecodable}
 
     def _established(self, event: lg.Established) -> None:
         arrived, sent = self._arrived.get(event.request), self._sends.get(event.request)
--- a/saltcourse/net/peers.py
+++ b/saltcourse/net/peers.py
@@ -14,7 +14,7 @@
 
 from saltcourse import interface as lg
 from saltcourse.config import PeerAddresses
-from saltcourse.fleet.words import MOST_BYTES
+from saltcourse.fleet.codec import MAX_BYTES
 from saltcourse.wire.members import Address
 
 log = structlog.get_logger("saltcourse")
@@ -37,7 +37,7 @@
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         sender = self._index.get(addr[:2])
-        if sender is None or len(data) > MOST_BYTES or not data.isascii():
+        if sender is None or len(data) > MAX_BYTES or not data.isascii():
             self.strange += 1
             return
         self._tell(lg.PeerMessage(sender, data.decode("ascii")))
@@ -47,7 +47,7 @@
 
     def say(self, action: lg.TellPeers) -> None:
         data = action.data.encode()
-        if self._transport is None or len(data) > MOST_BYTES:
+        if self._transport is None or len(data) > MAX_BYTES:
             return
         for address in self._targets(action.peer):
             self._transport.sendto(data, address)
--- a/saltcourse/policy.py
+++ b/saltcourse/policy.py
@@ -251,7 +251,7 @@
     def _slow_start_gap(self, server: Server) -> float:
         """Seconds between this node's slots to a cold server, so that all nodes fill it over its warm-up."""
         level = self.level if server.near == 1.0 else self.far_level
-        slots = max(0.25, server.size * (level - FEW_SLOTS + 0.5)) * self.peers.pace(self.now)
+        slots = max(0.25, server.size * (level - FEW_SLOTS + 0.5)) * self.peers.relative_share(self.now)
         return self.settings.warm_up / slots
 
     # ---- health ---------------------------------------------------------------------------------
@@ -270,7 +270,7 @@
             server.failures += 1  # what was sent before does not lengthen the rest
             wait = min(LONGEST_BACKOFF, FIRST_BACKOFF * 2.0 ** (server.failures - 1))
             server.down_until = self.now + wait * (0.75 + self.random.random() / 2)
-            self.peers.judge(server.id, server.down_until)
+            self.peers.eject(server.id, server.down_until)
             self._strike(server.zone)
         if server.health in (Health.RESTING, Health.TRIAL) and server in self.ready and len(self.ready) > 1:
             self.ready.remove(server)
@@ -417,7 +417,7 @@
         if own <= 0:
             return
         mean = self.per_load = own / told
-        self.peers.tell_scale(mean)
+        self.peers.set_scale(mean)
         self.mean_report = told / len(heard)
         sizes = {}
         for kind in {s.kind for s in self.ready}:
@@ -727,7 +727,7 @@
                 del self.requests[event.request]
 
     def _on_peer(self, event: PeerMessage) -> None:
-        for name in self.peers.heard(self.now, event.sender, event.data):
+        for name in self.peers.receive(self.now, event.sender, event.data):
             self._sign(self.servers[name], Sign.WARNED)
 
     def _on_load(self, event: LoadNote) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""What proxies tell each other: the words, copies that agree after any loss, and the socket."""
+"""What proxies tell each other: the codec, replicas that agree after any loss, and the socket."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 from saltcourse import interface as lg
 from saltcourse.config import PeerAddresses
 from saltcourse.emulator.simnet import Host, Link, Network
+from saltcourse.fleet.codec import MAX_BYTES, BadMessage, Message, decode, encode
 from saltcourse.fleet.core import Fleet, Sends
-from saltcourse.fleet.shares import Shares
-from saltcourse.fleet.verdicts import Verdicts
-from saltcourse.fleet.words import MOST_BYTES, BadMessage, Message, read, write
+from saltcourse.fleet.ejections import Ejections
+from saltcourse.fleet.quota import QuotaLeases
 from saltcourse.net.peers import PeerLink
 from saltcourse.policy import Sign
 from tests.node import Node, members, settings
@@ -42,15 +42,15 @@
     "+srv1grp1", "-srv1grp1", "#srv1AAB", "!", "?AAC", "*", "=0Ab", "wAAA", "cAAAAA", "vsrv1AAAAB"])
 
 
-@given(st.text(max_size=300) | st.builds(lambda m, cut: write(m)[:cut], st.builds(
+@given(st.text(max_size=300) | st.builds(lambda m, cut: encode(m)[:cut], st.builds(
     Message, st.integers(0, 4095), st.integers(0, 262143), st.integers(0, 262143),
     st.lists(RECORDS, max_size=20).map(tuple)), st.integers(0, 250)))
 def test_any_text_is_a_message_or_is_refused(text: str) -> None:
     try:
-        message = read(text)
+        message = decode(text)
     except BadMessage:
         return
-    assert write(message) == text
+    assert encode(message) == text
 
 
 @dataclass
@@ -72,7 +72,7 @@
         self.most = 0
         self.paid: list[float] = []  # true times at which any proxy spent one of the server's budget
         self.shares: list[float] = []  # of all live proxies together, at one moment each
-        self.verdicts: dict[str, float] = {}  # server -> true time at which the latest verdict on it ends
+        self.ejections: dict[str, float] = {}  # server -> true time at which the latest ejection on it ends
         self.outlived: list[tuple[float, str]] = []
         for i in range(count):
             hosts[i].alive = True
@@ -109,7 +109,7 @@
         core, draw, now = self.cores[index], self.random.randrange, self.clock(index)
         if core.may_probe(now, "s0"):
             self.paid.append(self.net.now)
-        self.shares.append(sum(c.shares.share(self.clock(i)) for i, c in enumerate(self.cores)))
+        self.shares.append(sum(c.leases.share(self.clock(i)) for i, c in enumerate(self.cores)))
         if self.changing and draw(10) < 3:
             server, more = f"s{draw(8)}", draw(5) < 3
             core.hold(server, f"g{draw(9)}", more)
@@ -117,8 +117,8 @@
         if self.changing and draw(100) < 2:
             length = 0.3 + 6 * self.random.random()
             server = f"s{draw(8)}"
-            core.judge(server, now + length)
-            self.verdicts[server] = max(self.verdicts.get(server, 0.0), self.net.now + 1.02 * length)
+            core.eject(server, now + length)
+            self.ejections[server] = max(self.ejections.get(server, 0.0), self.net.now + 1.02 * length)
 
     def _send(self, index: int, sends: Sends) -> None:
         for peer, text in sends:
@@ -130,8 +130,8 @@
     def _got(self, host: Host, event: Any) -> None:
         sender, text = event
         index = int(host.name)
-        for server in self.cores[index].heard(self.clock(index), sender, text):
-            if self.net.now > self.verdicts[server] + self.net.link.delay[1]:
+        for server in self.cores[index].receive(self.clock(index), sender, text):
+            if self.net.now > self.ejections[server] + self.net.link.delay[1]:
                 self.outlived.append((self.net.now, server))
 
     def wrong(self) -> list[tuple[int, int]]:
@@ -140,8 +140,8 @@
         for i, core in enumerate(self.cores):
             for j, other in enumerate(self.cores):
                 indexed = {key for key, peers in core.holders.items() if j in peers}
-                if i != j and not (j in core.peers and core.peers[j].copy.entries == other.table.own
-                                   and indexed == set(other.table.own)):
+                if i != j and not (j in core.peers and core.peers[j].replica.entries == other.table.entries
+                                   and indexed == set(other.table.entries)):
                     found.append((i, j))
         return found
 
@@ -182,11 +182,11 @@
 
 
 @pytest.mark.parametrize("seed", range(16))
-def test_copies_agree_budgets_hold_and_verdicts_end_after_losses_cuts_stops_and_restarts(seed: int) -> None:
+def test_copies_agree_budgets_hold_and_ejections_end_after_losses_cuts_stops_and_restarts(seed: int) -> None:
     link = Link(delay=(0.0017, 0.3), loss=(seed % 6) * 0.1, double=0.2)
     proxies = Proxies(seed, link, count=3 + seed % 4)
     assert trouble(proxies) == []
-    assert 0 < proxies.most <= MOST_BYTES
+    assert 0 < proxies.most <= MAX_BYTES
     assert not proxies.overspent() and len(proxies.paid) > 300
     assert not proxies.outlived
 
@@ -205,26 +205,26 @@
     class Proud(Fleet):
         """Never asks for what it has missed."""
 
-        def _doubt(self, now: float) -> None:
+        def _request_repairs(self, now: float) -> None:
             pass
 
-    class Hasty(Shares):
-        """Inherits a token as soon as it starts, and counts its own from the answer, not from the wish."""
+    class Hasty(QuotaLeases):
+        """Inherits a portion as soon as it starts; counts its own from the grant, not from the request."""
 
-        def _begin(self, now: float) -> None:
-            self.promised = self.promised or dict.fromkeys(self.owners, now)
+        def _start(self, now: float) -> None:
+            self.granted_until = self.granted_until or dict.fromkeys(self.predecessors, now)
 
-        def take(self, now: float, sender: int, sign: str, rest: str) -> list[str]:
-            self.wishes = dict.fromkeys(self.wishes, now)
-            return super().take(now, sender, sign, rest)
+        def receive(self, now: float, sender: int, kind: str, body: str) -> list[str]:
+            self.open_requests = dict.fromkeys(self.open_requests, now)
+            return super().receive(now, sender, kind, body)
 
     class Greedy(Fleet):
         def __init__(self, *args: Any) -> None:
             super().__init__(*args)
-            self.shares = Hasty(self.index, self.shares.count, self.terms)
+            self.leases = Hasty(self.index, self.leases.count, self.terms)
 
-    class Ageless(Verdicts):
-        """Counts a verdict's time from its coming."""
+    class Ageless(Ejections):
+        """Counts an ejection's time from its coming."""
 
         def _left(self, now: float, sender: int, theirs: int) -> float:
             return 1.0
@@ -232,7 +232,7 @@
     class Late(Fleet):
         def __init__(self, *args: Any) -> None:
             super().__init__(*args)
-            self.verdicts = Ageless(self.terms.drift)
+            self.ejections = Ageless(self.terms.drift)
 
     assert caught(Proud, Proxies.wrong)
     assert caught(Greedy, Proxies.overspent)
@@ -248,13 +248,15 @@
     lost, others = proxies.held[3][key].count, sum(h[key].count for h in proxies.held[:3])
     assert lost > 1 and not proxies.wrong()
     assert proxies.cores[0].connections(proxies.clock(0), key) == lost + others
-    assert all(c.pace(proxies.clock(i)) == pytest.approx(1.0) for i, c in enumerate(proxies.cores))
+    assert all(core.relative_share(proxies.clock(i)) == pytest.approx(1.0)
+               for i, core in enumerate(proxies.cores))
     for other in "012":
         proxies.net.cut("3", other)
     proxies.net.run(13.0 + SILENT + 6)
     assert all(3 not in core.peers for core in proxies.cores[:3])
     assert all(3 in pair for pair in proxies.wrong())  # nothing told for 20 s but life
-    assert proxies.cores[0].pace(proxies.clock(0)) == pytest.approx(1.0)  # a token lost, one inherited
+    share = proxies.cores[0].relative_share(proxies.clock(0))
+    assert share == pytest.approx(1.0)  # a lease lost, a portion inherited
     assert not proxies.overspent()
     proxies.net.run(13.0 + SILENT + 6 + 600)
     assert proxies.cores[0].connections(proxies.clock(0), key) == pytest.approx(
@@ -265,7 +267,7 @@
     for changes in ({"peers": False}, {"balancers": 1}):
         core = Fleet(settings(**({"balancers": 4, "peers": True, "groups": True} | changes)), 1, {})
         core.hold("s0", "g0", True)
-        assert core.due(1.0) == [] and core.pace(1.0) == 1.0
+        assert core.due(1.0) == [] and core.relative_share(1.0) == 1.0
         spent = sum(core.may_probe(1.0 + i / 100, "s0") for i in range(1000))  # 10 s
         parts = 4 if "peers" in changes else 1
         assert 10 * 20 / parts - 1 <= spent <= 10 * 20 / parts + 3
@@ -320,7 +322,7 @@
     node.list(members(2))
     node.give(lg.ProbeResult("s0", lg.Status.OK, report=lg.LoadReport(load=0.1)))
     peer = Fleet(settings(balancers=2, index=1, peers=True, groups=True), 3, {})
-    peer.tell_scale(20.0)
+    peer.set_scale(20.0)
     before = node.balancer.servers["s0"].ceiling
     for _, text in peer.due(node.now):
         node.give(lg.PeerMessage(1, text))
--- a/tests/test_fleet_golden.py
+++ b/tests/test_fleet_golden.py
@@ -12,7 +12,7 @@
 from benchmarks.fleet import Site
 from saltcourse.emulator.simnet import Link
 from saltcourse.fleet.core import Sends
-from saltcourse.fleet.words import read, write
+from saltcourse.fleet.codec import decode, encode
 from tests.test_fleet import Proxies, trouble
 
 GOLDEN = (  # of a site of 8 proxies within 20 s; the last two by hand
@@ -35,7 +35,7 @@
 
 @pytest.mark.parametrize("text", GOLDEN)
 def test_messages_of_other_proxies_are_read_and_written_as_ever(text: str) -> None:
-    assert write(read(text)) == text
+    assert encode(decode(text)) == text
 
 
 class RecordedSite(Site):
@@ -70,8 +70,8 @@
     def _act(self, index: int) -> None:
         super()._act(index)
         core, now = self.cores[index], self.clock(index)
-        core.tell_scale(core.scale + self.random.random() - 0.4)
-        answers = (core.least_scale, core.pace(now), core.connections(now, "s1"), core.judged(now),
+        core.set_scale(core.scale + self.random.random() - 0.4)
+        answers = (core.least_scale, core.relative_share(now), core.connections(now, "s1"), core.ejected(now),
                    core.held_elsewhere("s2", "g3"), core.may_probe(now, "s3"))
         self.digest.update(repr(answers).encode())
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -36,7 +36,7 @@
     "saltcourse.schema": WORDS,
     "saltcourse.signals": WORDS,
     "saltcourse.figures": WORDS,
-    "saltcourse.fleet.words": WORDS,
+    "saltcourse.fleet.codec": WORDS,
     "saltcourse.gossip.messages": WORDS,
     "saltcourse.gossip.settings": WORDS,
     "saltcourse.membership.words": WORDS,
