Gossip: the quorum takes sizes from the codec; its checker shows versions as a node does

Cause: the local estimate of sizes stood beside the codec's own, and the checker showed the quorum each fetched version alone, while a node shows it the newest of one datagram only. Change: sizes.py asks the codec; the stand-in for the dissemination shows the last version of a fetch; cases for a version passed unseen and for the largest change in a datagram. A voter that lost its epoch and passes over its own version this way tells NO_MAJORITY, now said in the module's text.

--- a/saltcourse/emulator/gossip_quorum.py
+++ b/saltcourse/emulator/gossip_quorum.py
@@ -202,12 +202,13 @@
                 self._answer(host, replica, sender, after)
             case FetchedChanges(changes):
                 replica.fetch_at = now
-                for change in changes:
-                    self._apply(host, replica, change)
+                self._apply(host, replica, changes)
             case FetchedSnapshot(position, configuration):
                 replica.fetch_at = now
                 if position.version > replica.position.version:
-                    self._applied(host, replica, position, dict(configuration))
+                    replica.position = position
+                    replica.configuration = dict(configuration)
+                    self._show_applied(host, replica)
             case Publish():
                 self._carry_out(host, replica.quorum.publish(now, event))
         if host.life == life:
@@ -250,7 +251,7 @@
                     self._send(host, self._addresses[destination], datagram)
                 case Commit(change):
                     self.judge.committed(change, self._disks())
-                    self._apply(host, self.replicas[host.name], change)
+                    self._apply(host, self.replicas[host.name], (change,))
                 case Beat(heartbeat):
                     self.replicas[host.name].heartbeat = heartbeat
                 case Published() | PublishFailed():
@@ -301,21 +302,23 @@
         else:
             self._send(host, sender, FetchedSnapshot(replica.position, dict(replica.configuration)))
 
-    def _apply(self, host: Host, replica: Replica, change: Change) -> None:
-        if change.position.version != replica.position.version + 1 or not host.alive:
-            return
-        configuration = dict(replica.configuration)
-        _apply(configuration, change)
-        replica.log[change.position.version] = change
-        self._applied(host, replica, change.position, configuration)
-
-    def _applied(self, host: Host, replica: Replica, position: Position,
-                 configuration: dict[str, bytes]) -> None:
-        replica.position = position
-        replica.configuration = configuration
+    def _apply(self, host: Host, replica: Replica, changes: tuple[Change, ...]) -> None:
+        """Those that follow on what is applied; the quorum is shown the last one only, as by a node."""
+        before = replica.position
+        for change in changes:
+            if change.position.version == replica.position.version + 1:
+                replica.configuration = dict(replica.configuration)
+                _apply(replica.configuration, change)
+                replica.position = change.position
+                replica.log[change.position.version] = change
+        if replica.position != before:
+            self._show_applied(host, replica)
+
+    def _show_applied(self, host: Host, replica: Replica) -> None:
+        position, configuration = replica.position, replica.configuration
         self.judge.applied(position, configuration)
-        now = host.clock(self.net.now)
-        self._carry_out(host, replica.quorum.applied(now, position, configuration))
+        actions = replica.quorum.applied(host.clock(self.net.now), position, configuration)
+        self._carry_out(host, actions)
 
 
 def _holds(disk: ReplicaState, change: Change) -> bool:
--- a/saltcourse/gossip/quorum.py
+++ b/saltcourse/gossip/quorum.py
@@ -17,8 +17,9 @@
 
 **A failed publish.** ``NO_MAJORITY`` means that the change was not known to be committed in time. This voter
 no longer proposes it as a new change, but if some voter has accepted it, a later publisher may still commit
-it. Changes of one burst are committed in the order in which they were proposed; where a publisher fails amid
-a burst, a later one of its changes may be committed without an earlier one.
+it. Nor can a voter that lost its epoch amid a burst, and then learns of several versions at once, tell which
+of those between were its own. Changes of one burst are committed in the order in which they were proposed;
+where a publisher fails amid a burst, a later one of its changes may be committed without an earlier one.
 
 **Order of actions.** A list of actions begins with at most one ``Persist``, ahead of all that depends on it,
 and ``Commit`` comes behind it: so ``applied`` may be called while the rest of the list is still to be carried
@@ -60,7 +61,7 @@
 from saltcourse.gossip.publish_queue import PublishQueue
 from saltcourse.gossip.recovery import PromiseSet
 from saltcourse.gossip.settings import Timing, Voter
-from saltcourse.gossip.sizes import ConfigurationSize, has_valid_size
+from saltcourse.gossip.sizes import ConfigurationSize, is_encodable
 
 WINDOW = 16  # versions proposed and not yet committed
 RETRY_AFTER = 0.3  # s without an answer; above a round trip between regions
@@ -199,7 +200,7 @@
         return self._take_actions()
 
     def publish(self, now: float, event: Publish) -> list[QuorumAction]:
-        if not has_valid_size(event.writes):
+        if not is_encodable(event.writes):
             return [PublishFailed(event.token, PublishError.TOO_LARGE)]
         if self._queue.full:
             return [PublishFailed(event.token, PublishError.BUSY)]
--- a/saltcourse/gossip/sizes.py
+++ b/saltcourse/gossip/sizes.py
@@ -4,36 +4,17 @@
 
 from collections.abc import Iterable
 
-from saltcourse.gossip.messages import (
-    MAX_CHANGE_BYTES, MAX_CONFIGURATION_BYTES, MAX_KEY_BYTES, Write,
-)
+from saltcourse.gossip.codec import CONFIGURATION_ITEM, change_size
+from saltcourse.gossip.messages import MAX_CONFIGURATION_BYTES, Change, Position, Write
 
-# Of the codec: a change is a position, a count and its writes; each item has the lengths of key and value.
-CHANGE_BYTES = 9
-ITEM_BYTES = 3
-FIRST_PRINTABLE = " "
-DELETE_CHARACTER, LAST_CONTROL_CHARACTER = "\x7f", "\x9f"
 
-
-def has_valid_size(writes: Iterable[Write]) -> bool:
-    """Whether a change of these writes can be encoded. Keys have 1 to ``MAX_KEY_BYTES`` bytes and no control
-    characters."""
-    size = CHANGE_BYTES
-    for key, value in writes:
-        if not _is_valid_key(key):
-            return False
-        size += ITEM_BYTES + len(key.encode()) + len(value or b"")
-    return size <= MAX_CHANGE_BYTES
-
-
-def _is_valid_key(key: str) -> bool:
+def is_encodable(writes: tuple[Write, ...]) -> bool:
+    """Whether a change of these writes fits its bound and each key and value has a binary form."""
     try:
-        size = len(key.encode())
-    except UnicodeEncodeError:
-        return False
-    if not 0 < size <= MAX_KEY_BYTES:
+        change_size(Change(Position(), writes))
+    except ValueError:
         return False
-    return all(FIRST_PRINTABLE <= c < DELETE_CHARACTER or c > LAST_CONTROL_CHARACTER for c in key)
+    return True
 
 
 class ConfigurationSize:
@@ -58,4 +39,4 @@
 
 
 def _item_size(key: str, value: bytes | None) -> int:
-    return 0 if value is None else ITEM_BYTES + len(key.encode()) + len(value)
+    return 0 if value is None else CONFIGURATION_ITEM.size + len(key.encode()) + len(value)
--- a/tests/test_gossip_quorum.py
+++ b/tests/test_gossip_quorum.py
@@ -13,15 +13,17 @@
 from saltcourse.emulator.gossip_quorum import Broken, Stuck, World, play
 from saltcourse.emulator.simnet import Link
 from saltcourse.gossip.acceptor import MAX_ACCEPTED, Acceptor
+from saltcourse.gossip.codec import Codec, encode_configuration
 from saltcourse.gossip.messages import (
-    Accepted, AcceptedChange, Change, Header, Heartbeat, LeaseGrant, LeaseRequest, Persist, Position, Prepare,
-    Promise, Propose, Publish, Published, PublishError, PublishFailed, Refused, ReplicaState, Send,
+    MAX_CONFIGURATION_BYTES, Accepted, AcceptedChange, Change, Header, Heartbeat, LeaseGrant, LeaseRequest,
+    Persist, Position, Prepare, Promise, Propose, Publish, Published, PublishError, PublishFailed, Refused,
+    ReplicaState, Send,
 )
 from saltcourse.gossip.publish_queue import MAX_PENDING
 from saltcourse.gossip.quorum import WINDOW, Beat, Commit, Phase, Quorum, QuorumAction
 from saltcourse.gossip.recovery import PromiseSet
 from saltcourse.gossip.settings import Timing, Voter
-from saltcourse.gossip.sizes import ConfigurationSize, has_valid_size
+from saltcourse.gossip.sizes import ConfigurationSize, is_encodable
 
 SCHEDULES = 200
 SCHEDULES_TO_FIND = 150  # in which each broken core must be found
@@ -481,6 +483,17 @@
     assert Propose(6, Change(Position(6, 2), WRITES)) in proposed
 
 
+def test_a_change_whose_version_was_passed_unseen_is_neither_proposed_anew_nor_told_as_published() -> None:
+    core = quorum()
+    core.publish(0.1, Publish(1, WRITES))
+    hand(core, 1, Promise(3, Position(), 0))
+    hand(core, 1, Prepare(4))
+    actions = core.applied(0.2, Position(4, 2), {})  # version 1 may be this change or another
+    assert not any(isinstance(action, Published | PublishFailed) for action in actions)
+    assert core.tick(4.1) == [PublishFailed(1, PublishError.NO_MAJORITY)]
+    assert core.figures()["quorum.pending"] == 0
+
+
 def test_an_earlier_publishers_late_commit_counts_for_the_change_proposed_again() -> None:
     core = quorum()
     core.publish(0.1, Publish(1, WRITES))
@@ -511,6 +524,17 @@
     assert core.publish(0.1, Publish(99, WRITES)) == [PublishFailed(99, PublishError.BUSY)]
 
 
+def test_the_largest_change_fits_a_datagram_in_a_proposal_and_in_a_promise() -> None:
+    writes = (("key", bytes(985)),)  # 1,000 bytes encoded
+    assert is_encodable(writes) and not is_encodable((("key", bytes(986)),))
+    largest = Change(Position(2**32 - 1, 2**32 - 1), writes)
+    codec = Codec(b"key")
+    header = Header(VOTERS[0].id, 0, 0)
+    for message in (Propose(2**32 - 1, largest),
+                    Promise(2**32 - 1, Position(), 64, AcceptedChange(2**32 - 1, largest))):
+        assert codec.decode(codec.encode(header, message)) == (header, message)
+
+
 def test_a_configuration_that_would_grow_too_large_is_refused_and_the_next_change_is_not() -> None:
     full = tuple((f"key{i:04}", bytes(900)) for i in range(288))  # 262,080 bytes encoded
     state = ReplicaState(committed=Position(1, 288), configuration=full)
@@ -524,16 +548,22 @@
 
 
 def test_writes_that_can_not_be_encoded_are_found_out() -> None:
-    assert has_valid_size((("key", b""), ("other", None)))
+    assert is_encodable((("key", b""), ("other", None)))
     for key in ("", "x" * 129, "a\nb", "\x85", "\ud800"):
-        assert not has_valid_size(((key, b""),))
+        assert not is_encodable(((key, b""),))
 
 
 def test_the_projected_size_follows_writes_replacements_and_deletions() -> None:
-    size = ConfigurationSize([("a", bytes(200_000))])
-    assert size.fits([("b", bytes(62_136))]) and not size.fits([("b", bytes(62_137))])
-    size.apply([("a", None), ("a", None)])
-    assert size.fits([("b", bytes(262_140))]) and not size.fits([("b", bytes(262_141))])
+    items = [(f"key{i}", bytes(50_000)) for i in range(5)]
+    size = ConfigurationSize(items)
+    room = MAX_CONFIGURATION_BYTES - len(encode_configuration([*items, ("b", b"")]))
+    assert size.fits([("b", bytes(room))]) and not size.fits([("b", bytes(room + 1))])
+    size.apply([("b", bytes(9)), ("b", bytes(room))])
+    assert not size.fits([("c", b"")])
+    assert size.fits([("b", None), ("c", bytes(room))])
+    assert not size.fits([("b", None), ("c", bytes(room)), ("d", b"")])
+    size.apply([("b", None), ("b", None)])
+    assert size.fits([("b", bytes(room))]) and not size.fits([("b", bytes(room + 1))])
 
 
 def test_a_promise_of_several_parts_is_whole_in_any_order_and_across_an_apply() -> None:
