--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -42,7 +42,7 @@
     "saltcourse.schema": WORDS,
     "saltcourse.signals": WORDS,
     "saltcourse.figures": WORDS,
-    "saltcourse.fleet.words": WORDS,
+    "saltcourse.fleet.codec": WORDS,
     "saltcourse.gossip.fields": WORDS,  # the codec of records
     "saltcourse.gossip.messages": WORDS,
     "saltcourse.gossip.settings": WORDS,
