--- /dev/null
+++ b/saltcourse/emulator/scale/mesh.py
@@ -0,0 +1,160 @@
+"""Today's exchange between proxies, ``saltcourse.fleet``: all tell all. The baseline of a scale run.
+
+It carries no configuration. As the nearest thing to a change, the publisher tells one more record of its
+table, which reaches everyone as a change would: with the next message, or by a question after a loss.
+"""
+
+from __future__ import annotations
+
+import heapq
+
+from saltcourse.emulator.scale.hollow import (
+    ConfigurationObserved,
+    HollowMember,
+    MembersView,
+    Output,
+    PublicationConfirmed,
+    Seat,
+    StatusObserved,
+    view_of,
+)
+from saltcourse.fleet.core import Fleet, Heard, Sends, Tick
+from saltcourse.gossip.messages import Address, Status, Transmit
+from saltcourse.interface import FleetTerms, RequestClass, Settings
+
+TICK = 0.05  # s; the pace of its messages, between which it is asked for nothing
+PUBLISHER = 0  # index of the member that tells changes
+CHANGES_SERVER = "changes"  # under whose name they are told
+SERVERS_PER_GROUP = 2  # that a group's connections go to
+
+
+class _Holding:
+    """Connections through this proxy that stand at one push server."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
+class MeshMember(HollowMember):
+    def __init__(self, seat: Seat) -> None:
+        super().__init__(seat)
+        arrivals = seat.arrivals
+        member_count = len(seat.topology.places)
+        server_count = max(3, round(arrivals.servers_per_proxy * member_count))
+        self._servers = [f"server-{number}" for number in range(server_count)]
+        self._group_count = arrivals.groups_per_server * server_count
+        self._holdings = {server: _Holding() for server in self._servers}
+        self._pairs: dict[tuple[str, str], int] = {}
+        self._ends: list[tuple[float, tuple[str, str]]] = []  # of connections, the next one first
+        self._next_arrival = 0.0
+        self._changes_seen = 0
+        self._lost: set[int] = set()
+        self._indexes = {address: index for index, address in enumerate(seat.addresses)}
+        settings = Settings(
+            (RequestClass("live-feed", 0.5, 3.0),),
+            balancers=member_count,
+            index=seat.place.index,
+            peers=True,
+            groups=True,
+            fleet=FleetTerms(counts=True),
+        )
+        self._fleet = self._measured(Fleet, settings, seat.process, self._holdings)
+
+    def start(self, now: float) -> Output:
+        arrivals = self.seat.arrivals
+        for _ in range(round(arrivals.connections_per_s * arrivals.life)):
+            self._connect(now)
+        self._next_arrival = now
+        return self.tick(now)
+
+    def receive(self, now: float, source: Address, datagram: bytes) -> Output:
+        index = self._indexes.get(source)
+        if index is None:
+            return Output()
+        output = self._output(self._measured(self._take, now, index, datagram))
+        if index == PUBLISHER:
+            self._observe_changes(output)
+        return output
+
+    def _take(self, now: float, sender: int, datagram: bytes) -> Sends:
+        return self._fleet.handle(now, Heard(sender, datagram.decode("ascii")))
+
+    def tick(self, now: float) -> Output:
+        self._play_connections(now)
+        self.next_deadline = now + TICK
+        return self._output(self._measured(self._fleet.handle, now, Tick()))
+
+    def publish(self, now: float, change: int) -> Output:
+        self._measured(self._fleet.hold, CHANGES_SERVER, str(change), True)
+        self._changes_seen = change + 1
+        output = self.tick(now)
+        output.observations += [
+            ConfigurationObserved(0, change + 1, 0, (change,), ()),
+            PublicationConfirmed(change, 0, change + 1),
+        ]
+        return output
+
+    def is_publisher(self) -> bool:
+        return self.seat.place.index == PUBLISHER
+
+    def view(self) -> MembersView:
+        places = self.seat.topology.places
+        return view_of(self.seat.place.id, [places[index].id for index in self._fleet.peers])
+
+    # ---- what this member sees and sends -------------------------------------------------------------
+
+    def _output(self, sends: Sends) -> Output:
+        output = Output()
+        for peer, text in sends:
+            datagram = text.encode()
+            for index in range(len(self.seat.addresses)) if peer is None else (peer,):
+                if index != self.seat.place.index:
+                    output.datagrams.append(Transmit(self.seat.addresses[index], datagram))
+        lost = self._fleet.lost.keys()
+        if lost != self._lost:
+            self._observe_lost(set(lost), output)
+        return output
+
+    def _observe_lost(self, lost: set[int], output: Output) -> None:
+        places = self.seat.topology.places
+        for index in sorted(lost - self._lost):
+            output.observations.append(StatusObserved(places[index].name, Status.DEAD))
+        for index in sorted(self._lost - lost):
+            output.observations.append(StatusObserved(places[index].name, Status.ALIVE))
+        self._lost = lost
+
+    def _observe_changes(self, output: Output) -> None:
+        """Those that are here without a gap."""
+        while self._fleet.held_elsewhere(CHANGES_SERVER, str(self._changes_seen)):
+            change = self._changes_seen
+            self._changes_seen += 1
+            output.observations.append(ConfigurationObserved(0, self._changes_seen, 0, (change,), ()))
+
+    # ---- its client connections ----------------------------------------------------------------------
+
+    def _play_connections(self, now: float) -> None:
+        rate = self.seat.arrivals.connections_per_s
+        while rate > 0 and self._next_arrival <= now:
+            self._connect(now)
+            self._next_arrival += self.seat.random.expovariate(rate)
+        while self._ends and self._ends[0][0] <= now:
+            self._disconnect(heapq.heappop(self._ends)[1])
+
+    def _connect(self, now: float) -> None:
+        draw = self.seat.random
+        group = draw.randrange(self._group_count)
+        choice = draw.randrange(SERVERS_PER_GROUP)
+        server = self._servers[(group * SERVERS_PER_GROUP + choice) % len(self._servers)]
+        pair = server, f"group-{group}"
+        heapq.heappush(self._ends, (now + draw.expovariate(1 / self.seat.arrivals.life), pair))
+        self._holdings[server].count += 1
+        self._pairs[pair] = self._pairs.get(pair, 0) + 1
+        if self._pairs[pair] == 1:
+            self._measured(self._fleet.hold, *pair, True)
+
+    def _disconnect(self, pair: tuple[str, str]) -> None:
+        self._holdings[pair[0]].count -= 1
+        self._pairs[pair] -= 1
+        if not self._pairs[pair]:
+            del self._pairs[pair]
+            self._measured(self._fleet.hold, *pair, False)
--- /dev/null
+++ b/saltcourse/emulator/scale/report.py
@@ -0,0 +1,173 @@
+"""The figures of all runs: one flat JSON object, a table and a chart."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from saltcourse.emulator.scale.measures import Figures, worst_cut
+from saltcourse.emulator.scale.mechanisms import MESH
+from saltcourse.emulator.scale.summary import Spread, growth_exponent
+
+Value = float | int | bool | str | None
+BUDGET_BYTES_PER_S = 21_000.0  # of issue 32, sent plus received; drawn in the chart
+BUDGET_CPU_SHARE = 0.026
+DIGITS = 5
+COLUMNS = (
+    "proxies",
+    "B/s mean",
+    "p99",
+    "max",
+    "CPU mean",
+    "max",
+    "MB",
+    "change p50",
+    "p99",
+    "max",
+    "missing",
+    "failure p50",
+    "max",
+    "after cut",
+    "suspected",
+    "held dead",
+    "breaches",
+)
+
+
+def flat_figures(runs: Sequence[Figures]) -> dict[str, Value]:
+    """Keys of the mesh begin with ``mesh_``."""
+    found: dict[str, Value] = {}
+    for figures in runs:
+        for key, value in _of_size(figures):
+            found[f"{prefix(figures)}n{figures.size}_{key}"] = _rounded(value)
+    for mechanism in sorted({figures.mechanism for figures in runs}):
+        chosen = [
+            figures for figures in runs if figures.mechanism == mechanism and figures.proxies is not None
+        ]
+        start = f"{mechanism}_" if mechanism == MESH else ""
+        sizes = {f.size: f.proxies.bytes_per_s.mean for f in chosen if f.proxies is not None}
+        shares = {f.size: f.proxies.cpu_share.mean for f in chosen if f.proxies is not None}
+        found[f"{start}bytes_growth_exponent"] = _rounded(growth_exponent(sizes))
+        found[f"{start}cpu_growth_exponent"] = _rounded(growth_exponent(shares))
+    return found
+
+
+def prefix(figures: Figures) -> str:
+    return "mesh_" if figures.mechanism == MESH else ""
+
+
+def _of_size(figures: Figures) -> Iterator[tuple[str, Value]]:
+    if figures.proxies is not None:
+        yield "control_bytes_per_s_mean", figures.proxies.bytes_per_s.mean
+        yield "control_bytes_per_s_p99", figures.proxies.bytes_per_s.p99
+        yield "control_bytes_per_s_max", figures.proxies.bytes_per_s.most
+        yield "control_cpu_share_mean", figures.proxies.cpu_share.mean
+        yield "control_cpu_share_max", figures.proxies.cpu_share.most
+    if figures.control is not None:
+        yield "control_member_bytes_per_s_max", figures.control.bytes_per_s.most
+        yield "control_member_cpu_share_max", figures.control.cpu_share.most
+    yield "control_memory_mb_max", figures.memory_mb
+    for name in ("p50", "p99", "max"):
+        yield f"change_everywhere_s_{name}", _part(figures.change.seconds, name)
+    yield "changes", figures.change.events
+    yield "changes_missing", figures.change.missing
+    yield "changes_confirmed", figures.changes_confirmed
+    yield "changes_lost", figures.changes_lost
+    yield "failure_known_s_p50", _part(figures.failure.seconds, "p50")
+    yield "failure_known_everywhere_s_p50", _part(figures.failure_everywhere, "p50")
+    yield "failure_known_everywhere_s_max", _part(figures.failure_everywhere, "max")
+    yield "failures", figures.failure.events
+    yield "failures_missing", figures.failure.missing
+    yield "false_suspicions", figures.false_suspicions
+    yield "false_deaths", figures.false_deaths
+    yield "after_cut_agree_s_max", worst_cut(figures.cuts)
+    yield "safety_breaches", len(figures.breaches)
+    for phase in figures.phases:
+        yield f"phase_{phase.name}_bytes_per_s_max", phase.bytes_per_s
+        yield f"phase_{phase.name}_cpu_share_max", phase.cpu_share
+    for name, change in figures.change_by_phase.items():
+        yield f"phase_{name}_change_everywhere_s_max", _part(change.seconds, "max")
+        yield f"phase_{name}_changes_missing", change.missing
+    yield "process_cpu_share_with_harness", figures.workers_cpu_per_member
+    yield "lag_p99_s", figures.lag_p99
+    yield "lag_max_s", figures.lag_max
+    yield "dropped_by_kernel", figures.dropped
+    yield "overloaded", figures.overloaded
+
+
+def _part(found: Spread | None, name: str) -> float | None:
+    if found is None:
+        return None
+    return {"p50": found.p50, "p99": found.p99, "max": found.most}[name]
+
+
+def _rounded(value: Value) -> Value:
+    return round(value, DIGITS) if isinstance(value, float) else value
+
+
+def table(runs: Sequence[Figures]) -> str:
+    """Plain text; bytes are sent plus received, CPU is in per cent of a core, times are in seconds."""
+    rows = [COLUMNS, *[_row(figures) for figures in runs]]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(COLUMNS))]
+    lines = ["  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True)) for row in rows]
+    return "\n".join(lines)
+
+
+def _row(figures: Figures) -> tuple[str, ...]:
+    cost = figures.proxies
+    name = f"{figures.mechanism} {figures.size}" + (" (overloaded)" if figures.overloaded else "")
+    return (
+        name,
+        _number(cost.bytes_per_s.mean if cost else None, 0),
+        _number(cost.bytes_per_s.p99 if cost else None, 0),
+        _number(cost.bytes_per_s.most if cost else None, 0),
+        _number(100 * cost.cpu_share.mean if cost else None, 2),
+        _number(100 * cost.cpu_share.most if cost else None, 2),
+        _number(figures.memory_mb, 2),
+        *[_number(_part(figures.change.seconds, part), 2) for part in ("p50", "p99", "max")],
+        str(figures.change.missing),
+        *[_number(_part(figures.failure_everywhere, part), 1) for part in ("p50", "max")],
+        _number(worst_cut(figures.cuts), 2),
+        str(figures.false_suspicions),
+        str(figures.false_deaths),
+        str(len(figures.breaches)),
+    )
+
+
+def _number(value: float | None, digits: int) -> str:
+    return "-" if value is None else f"{value:,.{digits}f}"
+
+
+def chart(runs: Sequence[Figures], path: Path) -> None:
+    """Bytes and CPU of a proxy over the size of the fleet. ImportError without matplotlib."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4.5))
+    for mechanism in sorted({run.mechanism for run in runs}):
+        chosen = [run for run in runs if run.mechanism == mechanism and run.proxies is not None]
+        sizes = [run.size for run in chosen]
+        costs = [run.proxies for run in chosen if run.proxies is not None]
+        left.plot(sizes, [cost.bytes_per_s.mean for cost in costs], marker="o", label=f"{mechanism}, mean")
+        left.plot(
+            sizes, [cost.bytes_per_s.most for cost in costs], marker="^", label=f"{mechanism}, worst 10 s"
+        )
+        right.plot(
+            sizes, [100 * cost.cpu_share.mean for cost in costs], marker="o", label=f"{mechanism}, mean"
+        )
+        right.plot(
+            sizes, [100 * cost.cpu_share.most for cost in costs], marker="^", label=f"{mechanism}, worst 10 s"
+        )
+    left.axhline(BUDGET_BYTES_PER_S, linestyle="--", color="gray")
+    right.axhline(100 * BUDGET_CPU_SHARE, linestyle="--", color="gray")
+    left.set_ylabel("bytes a second of a proxy, sent plus received")
+    right.set_ylabel("% of a core")
+    for axes in (left, right):
+        axes.set_xlabel("proxies")
+        axes.set_xscale("log")
+        axes.set_yscale("log")
+        axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=120)
--- /dev/null
+++ b/saltcourse/emulator/scale/runner.py
@@ -0,0 +1,234 @@
+"""One run: starts the workers, plays the operator, and ends what it has started, whatever happens."""
+
+from __future__ import annotations
+
+import multiprocessing
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from multiprocessing.connection import Connection, wait
+from multiprocessing.context import SpawnProcess
+from pathlib import Path
+from random import Random
+from typing import TypeVar
+
+from saltcourse.emulator.scale.operator import Operator
+from saltcourse.emulator.scale.orders import (
+    Begin,
+    Bound,
+    Finished,
+    Fleet,
+    Publish,
+    PublishResult,
+    Ready,
+    WorkerFailed,
+    WorkerTask,
+)
+from saltcourse.emulator.scale.records import RecordWriter
+from saltcourse.emulator.scale.scenario import Scenario
+from saltcourse.emulator.scale.timeline import Timeline, build_timeline
+from saltcourse.emulator.scale.topology import Topology, build_topology
+from saltcourse.emulator.scale.worker import work
+from saltcourse.gossip.messages import Address
+
+START_WITHIN = 30.0  # s for the workers to import and bind
+LEAD = 0.3  # s between the order to begin and the begin
+END_WITHIN = 20.0  # s after the timeline's end, for the last records
+OPERATOR_STEP = 0.02  # s
+JOIN_WITHIN = 2.0  # s for a worker that was asked to end
+KEY_BYTES = 32
+Answer = TypeVar("Answer")
+
+
+class RunError(Exception):
+    """A run that gave no records; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunPlan:
+    mechanism: str
+    scenario: Scenario
+    size: int
+    seed: int
+    workers: int
+    real: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecords:
+    """What a run left behind, to be judged by ``measures``."""
+
+    plan: RunPlan
+    topology: Topology
+    timeline: Timeline
+    paths: tuple[Path, ...]
+
+
+class RealProcesses:
+    """Where real processes take part; without any, nothing is done."""
+
+    def bind(self, topology: Topology) -> dict[int, Address]:
+        """Addresses of ``topology.real``."""
+        return {}
+
+    def start(self, addresses: tuple[Address, ...], key: bytes, begin: float, records: RecordWriter) -> None:
+        """Called just before the begin of the run."""
+
+    def close(self) -> None:
+        """Ends all that was started."""
+
+
+def play(
+    plan: RunPlan,
+    folder: Path,
+    stop: threading.Event,
+    progress: Callable[[float], None],
+    real: RealProcesses | None = None,
+) -> RunRecords:
+    """RunError when a worker failed, was late, or ``stop`` was set. ``progress`` gets the share done."""
+    run = _Run(plan, folder, stop, progress, real or RealProcesses())
+    try:
+        return run.play()
+    finally:
+        run.close()
+
+
+class _Run:
+    def __init__(
+        self,
+        plan: RunPlan,
+        folder: Path,
+        stop: threading.Event,
+        progress: Callable[[float], None],
+        real: RealProcesses,
+    ) -> None:
+        self._plan = plan
+        self._folder = folder
+        self._stop = stop
+        self._progress = progress
+        self._real = real
+        self._topology = build_topology(plan.scenario, plan.size, plan.real)
+        self._timeline = build_timeline(plan.scenario, self._topology, plan.seed)
+        self._processes: list[SpawnProcess] = []
+        self._pipes: list[Connection] = []
+        self._pipe_of: dict[int, Connection] = {}  # by member
+        self._key = Random(f"key {plan.seed}").randbytes(KEY_BYTES)
+
+    def play(self) -> RunRecords:
+        paths = self._start_workers()
+        addresses = self._exchange_addresses()
+        operator_path = self._folder / f"{self._plan.mechanism}-{self._plan.size}-operator.jsonl"
+        records = RecordWriter(operator_path)
+        try:
+            begin = time.monotonic() + LEAD
+            self._real.start(addresses, self._key, begin, records)
+            begin = max(begin, time.monotonic() + LEAD)
+            for pipe in self._pipes:
+                pipe.send(Begin(begin))
+            self._operate(begin, records)
+        finally:
+            self._real.close()
+            records.close()
+        return RunRecords(self._plan, self._topology, self._timeline, (*paths, operator_path))
+
+    def _start_workers(self) -> list[Path]:
+        context = multiprocessing.get_context("spawn")
+        hollow = [place.index for place in self._topology.places if place not in self._topology.real]
+        paths = []
+        for number in range(min(self._plan.workers, len(hollow))):
+            members = tuple(hollow[number :: self._plan.workers])
+            path = self._folder / f"{self._plan.mechanism}-{self._plan.size}-{number}.jsonl"
+            task = WorkerTask(
+                self._plan.mechanism,
+                self._plan.scenario,
+                self._topology,
+                self._timeline,
+                members,
+                self._plan.seed + number,
+                self._key,
+                path,
+            )
+            ours, theirs = context.Pipe()
+            process = context.Process(target=work, args=(task, theirs), daemon=True)
+            process.start()
+            theirs.close()
+            self._processes.append(process)
+            self._pipes.append(ours)
+            self._pipe_of.update(dict.fromkeys(members, ours))
+            paths.append(path)
+        return paths
+
+    def _exchange_addresses(self) -> tuple[Address, ...]:
+        deadline = time.monotonic() + START_WITHIN
+        found = self._real.bind(self._topology)
+        real = frozenset(found)
+        for pipe in self._pipes:
+            found = found | self._expect(pipe, Bound, deadline).addresses
+        addresses = tuple(found[place.index] for place in self._topology.places)
+        for pipe in self._pipes:
+            pipe.send(Fleet(addresses, real))
+        for pipe in self._pipes:
+            self._expect(pipe, Ready, deadline)
+        return addresses
+
+    def _expect(self, pipe: Connection, kind: type[Answer], deadline: float) -> Answer:
+        while not pipe.poll(OPERATOR_STEP):
+            if self._stop.is_set():
+                raise RunError("stopped")
+            if time.monotonic() > deadline:
+                raise RunError("a worker did not start in time")
+        message = self._receive(pipe)
+        if not isinstance(message, kind):
+            raise RunError(f"{kind.__name__} was expected of a worker, not {message!r}")
+        return message
+
+    def _receive(self, pipe: Connection) -> object:
+        try:
+            message = pipe.recv()
+        except (EOFError, ConnectionError):
+            raise RunError("a worker has ended") from None
+        if isinstance(message, WorkerFailed):
+            raise RunError(f"a worker failed:\n{message.text}")
+        return message
+
+    def _operate(self, begin: float, records: RecordWriter) -> None:
+        minority = self._plan.scenario.zones[-1].region
+        operator = Operator(self._topology, self._timeline, self._send, records.write, minority)
+        working = set(self._pipes)
+        deadline = begin + self._timeline.end + END_WITHIN
+        while working:
+            if self._stop.is_set():
+                raise RunError("stopped")
+            if time.monotonic() > deadline:
+                raise RunError("a worker did not end in time")
+            now = time.monotonic() - begin
+            if now < self._timeline.end:
+                operator.advance(now)
+            for ready in wait(list(working), OPERATOR_STEP):
+                assert isinstance(ready, Connection)
+                message = self._receive(ready)
+                if isinstance(message, PublishResult):
+                    operator.answered(time.monotonic() - begin, message)
+                elif isinstance(message, Finished):
+                    working.discard(ready)
+            self._progress(min(max(now / self._timeline.end, 0.0), 1.0))
+
+    def _send(self, order: Publish) -> None:
+        try:
+            self._pipe_of[order.member].send(order)
+        except OSError:
+            raise RunError("a worker has ended") from None
+
+    def close(self) -> None:
+        """Ends the workers that have not ended by themselves, and only these."""
+        for process in self._processes:
+            process.join(JOIN_WITHIN if not self._stop.is_set() else 0.1)
+            if process.is_alive():
+                process.terminate()
+                process.join(JOIN_WITHIN)
+            if process.is_alive():
+                process.kill()
+                process.join()
+        for pipe in self._pipes:
+            pipe.close()
--- /dev/null
+++ b/saltcourse/emulator/scale/sockets.py
@@ -0,0 +1,132 @@
+"""The sockets of a worker's members, and the links between all members: delay, loss and cuts.
+
+They are applied where a datagram arrives, so that nothing is sent twice for them. Only what goes to a real
+process meets its link where it is sent, because nobody stands before that process's socket.
+"""
+
+from __future__ import annotations
+
+import resource
+import select
+import socket
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from saltcourse.emulator.scale.scenario import Link, Scenario
+from saltcourse.emulator.scale.topology import Place, link_between
+from saltcourse.gossip.messages import Address
+
+LOOPBACK = "127.0.0.1"
+RECEIVE_BUFFER = 1 << 20  # bytes wanted; the kernel may grant fewer
+MOST_DATAGRAM = 2_048  # bytes read of one
+READS_AT_ONCE = 64  # datagrams of one socket before others have their turn
+SPARE_FILES = 256  # descriptors beside the sockets
+
+
+@dataclass(frozen=True, slots=True)
+class MemberPath:
+    """The way between two members."""
+
+    link: Link
+    between_regions: bool
+
+
+class Paths:
+    """Delay, loss and cuts between addresses. Members of one zone share a table."""
+
+    def __init__(
+        self, scenario: Scenario, places: Iterable[Place], addresses: tuple[Address, ...], random: Random
+    ) -> None:
+        self._random = random
+        self.cut = False
+        first = scenario.zones[0].region
+        self._tables: dict[str, dict[Address, MemberPath]] = {}
+        all_places = list(places)
+        by_zone = {place.zone: place for place in all_places}
+        for zone, here in by_zone.items():
+            self._tables[zone] = {
+                addresses[place.index]: MemberPath(
+                    link_between(scenario, here, place), (here.region == first) != (place.region == first)
+                )
+                for place in all_places
+            }
+
+    def delay(self, zone: str, far: Address) -> float | None:
+        """Drawn for one datagram between a member of the zone and the far address; None: it is lost."""
+        path = self._tables[zone].get(far)
+        if path is None or self._random.random() < path.link.loss:
+            return None
+        return self._random.uniform(path.link.least, path.link.most)
+
+    def open(self, zone: str, far: Address) -> bool:
+        """Whether a cut lets a datagram through at this moment."""
+        return not (self.cut and self._tables[zone][far].between_regions)
+
+
+class Sockets:
+    """One UDP socket for each member, watched by one epoll."""
+
+    def __init__(self, members: Iterable[int]) -> None:
+        self._epoll = select.epoll()
+        self._sockets: dict[int, socket.socket] = {}
+        self._members: dict[int, int] = {}  # descriptor -> member
+        for member in members:
+            bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            bound.setblocking(False)
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            bound.bind((LOOPBACK, 0))
+            self._sockets[member] = bound
+            self._members[bound.fileno()] = member
+            self.watch(member)
+
+    def addresses(self) -> dict[int, Address]:
+        return {member: bound.getsockname() for member, bound in self._sockets.items()}
+
+    def watch(self, member: int) -> None:
+        self._epoll.register(self._sockets[member].fileno(), select.EPOLLIN)
+
+    def ignore(self, member: int) -> None:
+        """What comes waits in the kernel, up to the size of its buffer."""
+        self._epoll.unregister(self._sockets[member].fileno())
+
+    def receive(self, patience: float) -> Iterator[tuple[int, Address, bytes]]:
+        for descriptor, _ in self._epoll.poll(patience):
+            member = self._members[descriptor]
+            receive = self._sockets[member].recvfrom
+            for _ in range(READS_AT_ONCE):
+                try:
+                    datagram, source = receive(MOST_DATAGRAM)
+                except (BlockingIOError, ConnectionError):
+                    break
+                yield member, source, datagram
+
+    def send(self, member: int, datagram: bytes, destination: Address) -> None:
+        try:
+            self._sockets[member].sendto(datagram, destination)
+        except OSError:
+            return  # as on a real network, nobody hears of it
+
+    def dropped(self) -> int:
+        """Datagrams for which the kernel had no room, as it says itself."""
+        ports = {bound.getsockname()[1] for bound in self._sockets.values()}
+        total = 0
+        for line in Path("/proc/net/udp").read_text().splitlines()[1:]:
+            columns = line.split()
+            if int(columns[1].rpartition(":")[2], 16) in ports:
+                total += int(columns[-1])
+        return total
+
+    def close(self) -> None:
+        for bound in self._sockets.values():
+            bound.close()
+        self._epoll.close()
+
+
+def allow_sockets(count: int) -> None:
+    """Raises this process's own soft limit of open files as far as its hard limit allows."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = count + SPARE_FILES
+    if soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted if hard < 0 else min(wanted, hard), hard))
--- /dev/null
+++ b/saltcourse/emulator/scale/summary.py
@@ -0,0 +1,63 @@
+"""Percentiles, worst windows and slopes, in plain Python."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    mean: float
+    p50: float
+    p99: float
+    most: float
+    count: int
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """The smallest value that at least ``share`` of all do not pass; ValueError without values."""
+    if not values:
+        raise ValueError("no values")
+    ordered = sorted(values)
+    rank = math.ceil(share * len(ordered))
+    return ordered[min(max(rank, 1), len(ordered)) - 1]
+
+
+def spread(values: Sequence[float]) -> Spread | None:
+    if not values:
+        return None
+    return Spread(
+        mean=sum(values) / len(values),
+        p50=percentile(values, 0.5),
+        p99=percentile(values, 0.99),
+        most=max(values),
+        count=len(values),
+    )
+
+
+def window_means(values: Sequence[float], length: int) -> list[float]:
+    """The mean of each run of ``length`` values; of all of them where there are fewer."""
+    if not values:
+        return []
+    length = min(length, len(values))
+    total = sum(values[:length])
+    means = [total / length]
+    for begin in range(1, len(values) - length + 1):
+        total += values[begin + length - 1] - values[begin - 1]
+        means.append(total / length)
+    return means
+
+
+def growth_exponent(by_size: Mapping[int, float]) -> float | None:
+    """The slope of log(value) over log(size) by least squares: 0 is flat, 1 linear. None below two sizes."""
+    points = [(math.log(size), math.log(value)) for size, value in by_size.items() if size > 0 and value > 0]
+    if len(points) < 2:
+        return None
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    variance = sum((x - mean_x) ** 2 for x, _ in points)
+    if variance == 0:
+        return None
+    return sum((x - mean_x) * (y - mean_y) for x, y in points) / variance
--- /dev/null
+++ b/saltcourse/emulator/scale/timeline.py
@@ -0,0 +1,178 @@
+"""When what befalls whom in one run: the phases and faults worked out for a fleet, from one seed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from saltcourse.emulator.scale import scenario as terms
+from saltcourse.emulator.scale.scenario import Phase, Scenario
+from saltcourse.emulator.scale.topology import Place, Topology
+from saltcourse.gossip.messages import Role
+
+
+class Act(Enum):
+    """What a worker does to its members."""
+
+    START = "start"  # a new process of the member's name and address
+    KILL = "kill"
+    STOP = "stop"  # it gets no events, and what comes waits
+    RESUME = "resume"
+    CUT = "cut"  # the first region from the others; of no single member
+    HEAL = "heal"
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """``at`` counts from the begin of the run; ``members`` are indexes of the topology."""
+
+    at: float
+    act: Act
+    members: tuple[int, ...] = ()
+
+
+class Duty(Enum):
+    """What the operator does with the configuration."""
+
+    CHANGE = "change"
+    CONFLICT = "conflict"  # handed to a voter of the smaller side of a cut, and not tried again
+    LOSE_PUBLISHER = "lose_publisher"
+
+
+@dataclass(frozen=True, slots=True)
+class Publication:
+    """A change that the operator hands over at ``at``; the publisher is killed ``kill_after`` it."""
+
+    at: float
+    duty: Duty
+    kill_after: float = 0.0
+    restart_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PhaseSpan:
+    name: str
+    begin: float
+    end: float
+    ordinary: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Timeline:
+    """Commands and publications in the order of their times."""
+
+    spans: tuple[PhaseSpan, ...]
+    commands: tuple[Command, ...]
+    publications: tuple[Publication, ...]
+
+    @property
+    def end(self) -> float:
+        return self.spans[-1].end
+
+
+def build_timeline(scenario: Scenario, topology: Topology, seed: int) -> Timeline:
+    return _Builder(scenario, topology, seed).build()
+
+
+class _Builder:
+    def __init__(self, scenario: Scenario, topology: Topology, seed: int) -> None:
+        self._scenario = scenario
+        self._topology = topology
+        self._random = Random(f"timeline {seed} {len(topology.places)}")
+        self._commands: list[Command] = []
+        self._publications: list[Publication] = []
+        self._gone: set[int] = set()  # members that are killed for good
+
+    def build(self) -> Timeline:
+        self._start_all()
+        spans = []
+        begin = self._scenario.settle
+        for phase in self._scenario.phases:
+            spans.append(PhaseSpan(phase.name, begin, begin + phase.seconds, not phase.faults))
+            self._changes(phase, begin)
+            for fault in phase.faults:
+                self._fault(begin + fault.at, fault)
+            begin += phase.seconds
+        return Timeline(
+            spans=tuple(spans),
+            commands=tuple(sorted(self._commands, key=lambda command: command.at)),
+            publications=tuple(sorted(self._publications, key=lambda publication: publication.at)),
+        )
+
+    def _start_all(self) -> None:
+        """Control members at once, then the proxies in an order drawn at random."""
+        control = [place.index for place in self._topology.places if place.role is Role.CONTROL]
+        self._command(0.0, Act.START, control)
+        proxies = [place.index for place in self._topology.proxies]
+        self._random.shuffle(proxies)
+        for number, index in enumerate(proxies):
+            self._command(self._scenario.start_over * number / len(proxies), Act.START, [index])
+
+    def _changes(self, phase: Phase, begin: float) -> None:
+        if phase.changes_per_s <= 0:
+            return
+        interval = 1.0 / phase.changes_per_s
+        at = begin + interval / 2
+        while at < begin + phase.seconds:
+            self._publications.append(Publication(at, Duty.CHANGE))
+            at += interval
+
+    def _fault(self, at: float, fault: terms.Fault) -> None:
+        match fault:
+            case terms.Kill():
+                self._kill(at, fault)
+            case terms.StopResume():
+                members = self._choose(fault.members)
+                self._command(at, Act.STOP, members)
+                self._command(at + fault.seconds, Act.RESUME, members)
+            case terms.RollingReplacement():
+                for number, member in enumerate(self._choose(fault.members)):
+                    self._outage(at + number * fault.every, [member], fault.down)
+            case terms.RackOutage():
+                racks = self._topology.racks()
+                self._outage(at, _indexes(racks[self._random.choice(sorted(racks))]), fault.seconds)
+            case terms.ZoneOutage():
+                zone = self._random.choice(self._scenario.zones).name
+                lost = [p for p in self._topology.places if p.zone == zone and p not in self._topology.real]
+                self._outage(at, _indexes(lost), fault.seconds)
+            case terms.RegionCut():
+                self._command(at, Act.CUT, [])
+                self._command(at + fault.seconds, Act.HEAL, [])
+                if fault.conflicting_change:
+                    middle = at + fault.seconds / 2
+                    self._publications.append(Publication(middle, Duty.CHANGE))
+                    self._publications.append(Publication(middle, Duty.CONFLICT))
+            case terms.PublisherLost():
+                self._publications.append(
+                    Publication(at, Duty.LOSE_PUBLISHER, fault.after, fault.restart_after)
+                )
+            case terms.Burst():
+                self._publications += [Publication(at, Duty.CHANGE)] * fault.changes
+
+    def _kill(self, at: float, fault: terms.Kill) -> None:
+        machines = self._topology.machines()
+        whole = [m for m in sorted(machines) if not self._gone & set(_indexes(machines[m]))]
+        chosen = self._random.sample(whole, min(fault.machines, len(whole)))
+        members = [index for machine in chosen for index in _indexes(machines[machine])]
+        if fault.restart_after > 0:
+            self._outage(at, members, fault.restart_after)
+        else:
+            self._command(at, Act.KILL, members)
+            self._gone |= set(members)
+
+    def _outage(self, at: float, members: list[int], seconds: float) -> None:
+        members = [index for index in members if index not in self._gone]
+        self._command(at, Act.KILL, members)
+        self._command(at + seconds, Act.START, members)
+
+    def _choose(self, count: int) -> list[int]:
+        left = [place.index for place in self._topology.proxies if place.index not in self._gone]
+        return self._random.sample(left, min(count, len(left)))
+
+    def _command(self, at: float, act: Act, members: list[int]) -> None:
+        self._commands.append(Command(at, act, tuple(members)))
+
+
+def _indexes(places: list[Place]) -> list[int]:
+    return [place.index for place in places]
