--- /dev/null
+++ b/saltcourse/emulator/scale/gossip.py
@@ -0,0 +1,186 @@
+"""A hollow member of the gossip: ``saltcourse.gossip.node.Node``, with the host's part played here.
+
+The operator's change of number n writes two keys with the same value, so that half of a change would be seen.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from collections.abc import Iterable, Mapping
+
+from saltcourse.emulator.scale.connections import ConnectionLives
+from saltcourse.emulator.scale.hollow import (
+    ConfigurationObserved,
+    HollowMember,
+    MembersView,
+    Output,
+    PublicationConfirmed,
+    PublicationFailed,
+    Seat,
+    StatusObserved,
+    view_of,
+)
+from saltcourse.emulator.scale.topology import Place
+from saltcourse.gossip.messages import (
+    Action,
+    Address,
+    Applied,
+    ConnectionCount,
+    Event,
+    MemberChanged,
+    MemberRecord,
+    Persist,
+    Publish,
+    Published,
+    PublishFailed,
+    Received,
+    ReplicaState,
+    Role,
+    Status,
+    Tick,
+    Transmit,
+    Write,
+)
+from saltcourse.gossip.node import Node
+from saltcourse.gossip.quorum import Phase
+from saltcourse.gossip.settings import NodeSettings, Voter
+
+COUNT_INTERVAL = 1.0  # s between the connection counts that a proxy tells, as its host does
+LEFT_KEY = "scale/{}/left"
+RIGHT_KEY = "scale/{}/right"
+CHANGE_KEY = re.compile(r"scale/(\d+)/(?:left|right)")
+DIGEST_BYTES = 7  # of a configuration: it stays a whole number in JSON
+
+
+class GossipMember(HollowMember):
+    def __init__(self, seat: Seat) -> None:
+        super().__init__(seat)
+        self._lives = ConnectionLives(seat.arrivals, seat.random)
+        self._count_at = 0.0
+        stored = seat.stored if isinstance(seat.stored, ReplicaState) else None
+        self._state = stored
+        self._node = self._measured(Node, node_settings(seat), seat.random, stored)
+
+    def start(self, now: float) -> Output:
+        self._lives.start(now)
+        self._count_at = now + COUNT_INTERVAL
+        return self._output(self._measured(self._node.start, now))
+
+    def receive(self, now: float, source: Address, datagram: bytes) -> Output:
+        return self._handle(now, Received(source, datagram))
+
+    def tick(self, now: float) -> Output:
+        if self.seat.place.role is Role.PROXY and now >= self._count_at:
+            self._lives.begun(now)
+            self._lives.ended(now)
+            self._count_at = now + COUNT_INTERVAL
+            return self._handle(now, ConnectionCount(len(self._lives)))
+        return self._handle(now, Tick())
+
+    def publish(self, now: float, change: int) -> Output:
+        return self._handle(now, Publish(change, change_writes(change)))
+
+    def is_publisher(self) -> bool:
+        return self._node.quorum is not None and self._node.quorum.phase is Phase.PUBLISHING
+
+    def view(self) -> MembersView:
+        own = self.seat.place.id
+        alive = [
+            member
+            for member, known in self._node.membership.members.items()
+            if known.status is Status.ALIVE and member != own
+        ]
+        return view_of(own, alive)
+
+    def stored(self) -> ReplicaState | None:
+        return self._state
+
+    def _handle(self, now: float, event: Event) -> Output:
+        return self._output(self._measured(self._step, now, event))
+
+    def _step(self, now: float, event: Event) -> list[Action]:
+        actions = self._node.handle(now, event)
+        self.next_deadline = self._node.next_deadline()
+        return actions
+
+    def _output(self, actions: Iterable[Action]) -> Output:
+        output = Output()
+        applied: list[Applied] = []
+        for action in actions:
+            match action:
+                case Transmit():
+                    output.datagrams.append(action)
+                case Persist(state):
+                    self._state = state
+                case Applied():
+                    applied.append(action)
+                case MemberChanged(name, _, status):
+                    output.observations.append(StatusObserved(name, status))
+                case Published(token, position):
+                    output.observations.append(PublicationConfirmed(token, position.epoch, position.version))
+                case PublishFailed(token, error):
+                    output.observations.append(PublicationFailed(token, error.name))
+        output.observations += observe_applied(applied, self._node.dissemination.configuration)
+        if self.seat.place.role is Role.PROXY:
+            self.next_deadline = min(self.next_deadline, self._count_at)
+        return output
+
+
+def node_settings(seat: Seat) -> NodeSettings:
+    """Every member asks the control members first, and knows who votes."""
+    control = [place for place in seat.topology.places if place.role is Role.CONTROL]
+    return NodeSettings(
+        me=member_record(seat.place, seat.address, seat.process),
+        seeds=tuple(seat.addresses[place.index] for place in control if place != seat.place),
+        voters=tuple(Voter(place.name, seat.addresses[place.index]) for place in seat.topology.voters),
+        key=seat.key,
+    )
+
+
+def member_record(place: Place, address: Address, process: int) -> MemberRecord:
+    return MemberRecord(place.name, address, place.region, place.zone, place.role, 0, process)
+
+
+def change_writes(change: int) -> tuple[Write, ...]:
+    value = str(change).encode()
+    return (LEFT_KEY.format(change), value), (RIGHT_KEY.format(change), value)
+
+
+def observe_applied(
+    applied: list[Applied], configuration: Mapping[str, bytes]
+) -> list[ConfigurationObserved]:
+    """One for each version. What is in force can only be looked at after the last of them."""
+    found = []
+    for number, action in enumerate(applied):
+        changes = changes_of(action.changed)
+        last = number == len(applied) - 1
+        found.append(
+            ConfigurationObserved(
+                epoch=action.position.epoch,
+                version=action.position.version,
+                digest=configuration_digest(configuration) if last else 0,
+                changes=changes,
+                torn=tuple(change for change in changes if is_torn(change, configuration)),
+            )
+        )
+    return found
+
+
+def changes_of(keys: Iterable[str]) -> tuple[int, ...]:
+    """Numbers of the operator's changes that wrote any of these keys."""
+    matches = [CHANGE_KEY.fullmatch(key) for key in keys]
+    return tuple(sorted({int(match[1]) for match in matches if match is not None}))
+
+
+def is_torn(change: int, configuration: Mapping[str, bytes]) -> bool:
+    left = configuration.get(LEFT_KEY.format(change))
+    return left is None or left != configuration.get(RIGHT_KEY.format(change))
+
+
+def configuration_digest(configuration: Mapping[str, bytes]) -> int:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for key in sorted(configuration):
+        digest.update(f"{len(key)} {key} {len(configuration[key])} ".encode())
+        digest.update(configuration[key])
+    return int.from_bytes(digest.digest(), "big")
--- a/saltcourse/emulator/scale/mesh.py
+++ b/saltcourse/emulator/scale/mesh.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-import heapq
-
+from saltcourse.emulator.scale.connections import ConnectionLives
 from saltcourse.emulator.scale.hollow import (
     ConfigurationObserved,
     HollowMember,
@@ -44,9 +43,9 @@
         self._servers = [f"server-{number}" for number in range(server_count)]
         self._group_count = arrivals.groups_per_server * server_count
         self._holdings = {server: _Holding() for server in self._servers}
-        self._pairs: dict[tuple[str, str], int] = {}
-        self._ends: list[tuple[float, tuple[str, str]]] = []  # of connections, the next one first
-        self._next_arrival = 0.0
+        self._pairs: dict[tuple[str, str], int] = {}  # connections of a group at a server
+        self._lives = ConnectionLives(arrivals, seat.random)
+        self._pair_of: dict[int, tuple[str, str]] = {}  # by connection
         self._changes_seen = 0
         self._lost: set[int] = set()
         self._indexes = {address: index for index, address in enumerate(seat.addresses)}
@@ -61,10 +60,8 @@
         self._fleet = self._measured(Fleet, settings, seat.process, self._holdings)
 
     def start(self, now: float) -> Output:
-        arrivals = self.seat.arrivals
-        for _ in range(round(arrivals.connections_per_s * arrivals.life)):
-            self._connect(now)
-        self._next_arrival = now
+        for number in self._lives.start(now):
+            self._connect(number)
         return self.tick(now)
 
     def receive(self, now: float, source: Address, datagram: bytes) -> Output:
@@ -133,26 +130,26 @@
     # ---- its client connections ----------------------------------------------------------------------
 
     def _play_connections(self, now: float) -> None:
-        rate = self.seat.arrivals.connections_per_s
-        while rate > 0 and self._next_arrival <= now:
-            self._connect(now)
-            self._next_arrival += self.seat.random.expovariate(rate)
-        while self._ends and self._ends[0][0] <= now:
-            self._disconnect(heapq.heappop(self._ends)[1])
-
-    def _connect(self, now: float) -> None:
+        for number in self._lives.begun(now):
+            self._connect(number)
+        for number in self._lives.ended(now):
+            self._disconnect(number)
+
+    def _connect(self, number: int) -> None:
+        """To one of the servers that its group is at home with."""
         draw = self.seat.random
         group = draw.randrange(self._group_count)
         choice = draw.randrange(SERVERS_PER_GROUP)
         server = self._servers[(group * SERVERS_PER_GROUP + choice) % len(self._servers)]
         pair = server, f"group-{group}"
-        heapq.heappush(self._ends, (now + draw.expovariate(1 / self.seat.arrivals.life), pair))
+        self._pair_of[number] = pair
         self._holdings[server].count += 1
         self._pairs[pair] = self._pairs.get(pair, 0) + 1
         if self._pairs[pair] == 1:
             self._measured(self._fleet.hold, *pair, True)
 
-    def _disconnect(self, pair: tuple[str, str]) -> None:
+    def _disconnect(self, number: int) -> None:
+        pair = self._pair_of.pop(number)
         self._holdings[pair[0]].count -= 1
         self._pairs[pair] -= 1
         if not self._pairs[pair]:
--- a/saltcourse/emulator/scale/worker.py
+++ b/saltcourse/emulator/scale/worker.py
@@ -85,6 +85,7 @@
         self.view: MembersView | None = None
         self.not_alive: dict[str, Status] = {}
         self.stored: object = None
+        self.publishing: set[int] = set()  # changes that the operator waits for
 
     def take_cpu(self) -> float:
         """Since the last call."""
@@ -311,6 +312,9 @@
         hosted.stored = hosted.core.stored()
         hosted.core = None
         hosted.waiting = []
+        for change in hosted.publishing:  # the operator's connection breaks
+            self._send_to_runner(PublishResult(change, hosted.place.index, DOWN))
+        hosted.publishing = set()
 
     def _resume(self, hosted: HostedMember) -> None:
         hosted.stopped = False
@@ -338,6 +342,7 @@
                 self._send_to_runner(PublishResult(order.change, order.member, NOT_PUBLISHER))
                 return
             self._schedule_loss(hosted, order.kill_after, order.restart_after)
+        hosted.publishing.add(order.change)
         self._carry(hosted, hosted.core.publish(time.monotonic(), order.change))
 
     def _schedule_loss(self, hosted: HostedMember, kill_after: float, restart_after: float) -> None:
@@ -369,10 +374,12 @@
                     )
                 )
             case PublicationConfirmed():
+                hosted.publishing.discard(observation.change)
                 self._send_to_runner(
                     PublishResult(observation.change, index, "", observation.epoch, observation.version)
                 )
             case PublicationFailed():
+                hosted.publishing.discard(observation.change)
                 self._send_to_runner(PublishResult(observation.change, index, observation.reason))
 
     def _observe_status(self, hosted: HostedMember, seen: StatusObserved) -> None:
