--- a/saltcourse/emulator/scale/connections.py
+++ b/saltcourse/emulator/scale/connections.py
@@ -9,7 +9,7 @@
 
 
 class ConnectionLives:
-    """Connections come as a Poisson process and last for exponentially distributed times. Each has a number."""
+    """Connections come as a Poisson process and last for exponentially drawn times. Each has a number."""
 
     def __init__(self, arrivals: Arrivals, random: Random) -> None:
         self._arrivals = arrivals
--- a/saltcourse/emulator/scale/gossip.py
+++ b/saltcourse/emulator/scale/gossip.py
@@ -65,7 +65,7 @@
     def start(self, now: float) -> Output:
         self._lives.start(now)
         self._count_at = now + COUNT_INTERVAL
-        return self._output(self._measured(self._node.start, now))
+        return self._output(self._measured(self._start, now))
 
     def receive(self, now: float, source: Address, datagram: bytes) -> Output:
         return self._handle(now, Received(source, datagram))
@@ -99,6 +99,11 @@
     def _handle(self, now: float, event: Event) -> Output:
         return self._output(self._measured(self._step, now, event))
 
+    def _start(self, now: float) -> list[Action]:
+        actions = self._node.start(now)
+        self.next_deadline = self._node.next_deadline()
+        return actions
+
     def _step(self, now: float, event: Event) -> list[Action]:
         actions = self._node.handle(now, event)
         self.next_deadline = self._node.next_deadline()
