--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -33,6 +33,7 @@
 
 SCENARIOS = ROOT / "benchmarks" / "scenarios"
 WORKERS = 6  # processes in all
+REAL, REAL_QUICK = 8, 2  # real proxies
 PROGRESS_INTERVAL = 5.0  # s between lines where there is no terminal
 EXIT_FAILED, EXIT_USAGE, EXIT_INTERRUPTED = 1, 2, 130
 
@@ -103,10 +104,18 @@
 
 
 def build_plans(scenario: Scenario, mechanisms: Sequence[str], seed: int, real: int) -> list[RunPlan]:
-    """Where sizes run at once, each has its part of the workers."""
+    """Where sizes run at once, each has its part of the workers, and only the largest has real proxies."""
+    with_real = scenario.sizes[-1:] if scenario.sizes_at_once else scenario.sizes
     workers = max(1, WORKERS // len(scenario.sizes)) if scenario.sizes_at_once else WORKERS
     return [
-        RunPlan(mechanism, scenario, size, seed, workers, real if mechanism == GOSSIP else 0)
+        RunPlan(
+            mechanism,
+            scenario,
+            size,
+            seed,
+            workers,
+            real=real if mechanism == GOSSIP and size in with_real else 0,
+        )
         for mechanism in mechanisms
         for size in scenario.sizes
     ]
@@ -138,6 +147,9 @@
 @click.option(
     "--chart", "chart_path", type=click.Path(path_type=Path, dir_okay=False), help="Draw one to this file."
 )
+@click.option(
+    "--real", type=click.IntRange(0, 32), help="Real proxies beside them; default 8, with --quick 2."
+)
 @click.option(
     "--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep the records in this folder."
 )
@@ -148,6 +160,7 @@
     sizes: tuple[int, ...] | None,
     path: Path | None,
     mechanism: str,
+    real: int | None,
     chart_path: Path | None,
     keep: Path | None,
 ) -> None:
@@ -166,7 +179,9 @@
         sys.exit(EXIT_USAGE)
     if sizes:
         scenario = replace(scenario, sizes=sizes)
-    plans = build_plans(scenario, mechanisms, seed, real=0)
+    if real is None:
+        real = REAL_QUICK if quick else REAL
+    plans = build_plans(scenario, mechanisms, seed, real)
     began = time.monotonic()
     try:
         with tempfile.TemporaryDirectory() as temporary:
--- a/saltcourse/emulator/scale/measures.py
+++ b/saltcourse/emulator/scale/measures.py
@@ -9,12 +9,14 @@
 
 from saltcourse.emulator.scale.history import History, Interval, Steps
 from saltcourse.emulator.scale.records import (
+    CONTROL_PROCESS,
     DEAD_OR_LEFT,
     ConfigurationSeen,
     Confirmed,
     Handed,
     Lifecycle,
     Load,
+    ProcessSample,
     Record,
     StatusSeen,
     View,
@@ -79,6 +81,19 @@
         return max(self.members, self.configuration)
 
 
+@dataclass(frozen=True, slots=True)
+class RealCost:
+    """Of the real processes. CPU and memory are also told of the one that runs without the feature; its own are
+    the difference to be read. CPU is a share of a core, memory in MB, each the highest of any process."""
+
+    processes: int
+    bytes_per_s: float  # the worst window of the ordinary phases
+    cpu_share: float
+    cpu_share_without: float
+    memory_mb: float
+    memory_mb_without: float
+
+
 @dataclass(frozen=True, slots=True)
 class Figures:
     """Everything that a run of one size gave. ``control`` are the control members' costs."""
@@ -104,6 +119,7 @@
     lag_p99: float
     lag_max: float
     dropped: int
+    real: RealCost | None
 
     @property
     def overloaded(self) -> bool:
@@ -133,7 +149,7 @@
 
     def figures(self, mechanism: str, seed: int) -> Figures:
         usage = self._of(WorkerUsage)
-        proxies = [place for place in self._topology.places if place.role is Role.PROXY]
+        proxies = list(self._topology.proxies)
         control = [place for place in self._topology.places if place.role is Role.CONTROL]
         counted = [change for change, handed in self._handed.items() if handed.duty != Duty.CONFLICT.value]
         confirmed = {record.change for record in self._of(Confirmed)}
@@ -163,6 +179,7 @@
             lag_p99=max((u.lag_p99 for u in usage), default=0.0),
             lag_max=max((u.lag_max for u in usage), default=0.0),
             dropped=sum(u.dropped for u in usage),
+            real=self._real_cost(),
         )
 
     # ---- costs ---------------------------------------------------------------------------------------
@@ -198,6 +215,23 @@
             costs.append(PhaseCost(span.name, max(sizes, default=0.0), max(shares, default=0.0)))
         return tuple(costs)
 
+    def _real_cost(self) -> RealCost | None:
+        samples: dict[int, list[ProcessSample]] = {}
+        for sample in self._of(ProcessSample):
+            samples.setdefault(sample.member, []).append(sample)
+        without = samples.pop(CONTROL_PROCESS, [])
+        if not samples:
+            return None
+        cost = self._cost(list(self._topology.real))
+        return RealCost(
+            processes=len(samples),
+            bytes_per_s=cost.bytes_per_s.most if cost is not None else 0.0,
+            cpu_share=max(cpu_share_of(of) for of in samples.values()),
+            cpu_share_without=cpu_share_of(without),
+            memory_mb=max(of[-1].memory for of in samples.values()) / 1e6,
+            memory_mb_without=without[-1].memory / 1e6 if without else 0.0,
+        )
+
     # ---- changes -------------------------------------------------------------------------------------
 
     def _first_applied(self) -> dict[int, dict[int, float]]:
@@ -206,8 +240,25 @@
         for seen in sorted(self._of(ConfigurationSeen), key=lambda record: record.at):
             for change in seen.changes:
                 found.setdefault(change, {}).setdefault(seen.member, seen.at)
+        self._add_real(found)
         return found
 
+    def _add_real(self, found: dict[int, dict[int, float]]) -> None:
+        """A real process tells its version and not what came with it: it has a change once it has passed the
+        version at which others got it."""
+        versions: dict[int, int] = {}
+        for seen in self._of(ConfigurationSeen):
+            for change in seen.changes:
+                versions[change] = min(versions.get(change, seen.version), seen.version)
+        for place in self._topology.real:
+            polled = sorted(
+                (seen.version, seen.at) for seen in self._of(ConfigurationSeen) if seen.member == place.index
+            )
+            for change, version in versions.items():
+                at = next((at for reached, at in polled if reached >= version), None)
+                if at is not None:
+                    found[change][place.index] = at
+
     def _propagation(self, changes: list[int]) -> Propagation:
         """Over changes that came into force anywhere, and members that were within reach meanwhile."""
         seconds: list[float] = []
@@ -319,19 +370,22 @@
         views: dict[int, Steps] = {}
         for view in sorted(self._of(View), key=lambda record: record.at):
             views.setdefault(view.member, Steps()).add(view.at, (view.count, view.digest))
-        real = set(self._topology.real)
         at = healed
         while at <= until:
             live = self._history.live(at)
             truth = true_view(live)
-            if all(
-                place in real or (place.index in views and views[place.index].at(at) == truth)
-                for place in live
-            ):
+            if all(self._agrees(place, views.get(place.index), at, truth) for place in live):
                 return at - healed
             at += AGREEMENT_STEP
         return None
 
+    def _agrees(self, place: Place, view: Steps | None, at: float, truth: tuple[int, int]) -> bool:
+        """A real process tells only how many it holds for alive."""
+        told = view.at(at) if view is not None else None
+        if told is None:
+            return False
+        return told[0] == truth[0] if place in self._topology.real else told == truth
+
     def _configuration_agrees(self, healed: float, until: float) -> float | None:
         """Until each live member has what was the newest anywhere when the cut ended."""
         seen = sorted(self._of(ConfigurationSeen), key=lambda record: record.at)
@@ -358,6 +412,13 @@
     return count, digest
 
 
+def cpu_share_of(samples: list[ProcessSample]) -> float:
+    """Of a core, from the first sample to the last."""
+    if len(samples) < 2:
+        return 0.0
+    return (samples[-1].cpu - samples[0].cpu) / (samples[-1].at - samples[0].at)
+
+
 def memory_per_member(usage: WorkerUsage) -> float:
     """Bytes. What the harness keeps for a member is in it."""
     return max(usage.memory_at_end - usage.memory_without_members, 0) / max(1, usage.members)
--- a/saltcourse/emulator/scale/records.py
+++ b/saltcourse/emulator/scale/records.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import astuple, dataclass, fields
 from pathlib import Path
-from typing import TextIO
+from typing import TextIO, get_args
 
 from saltcourse.gossip.messages import Status
 
@@ -109,23 +109,31 @@
     dropped: int  # datagrams that the kernel had no room for
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessSample:
+    """Of a real process, from /proc: seconds of CPU since its start, and bytes of resident memory. Member
+    CONTROL_PROCESS is the one that runs without the feature."""
+
+    at: float
+    member: int
+    cpu: float
+    memory: int
+
+
+CONTROL_PROCESS = -1
 Record = (
-    Lifecycle | Load | View | StatusSeen | ConfigurationSeen | Handed | Confirmed | NotConfirmed | WorkerUsage
+    Lifecycle
+    | Load
+    | View
+    | StatusSeen
+    | ConfigurationSeen
+    | Handed
+    | Confirmed
+    | NotConfirmed
+    | WorkerUsage
+    | ProcessSample
 )
-KINDS: dict[str, type[Record]] = {
-    kind.__name__: kind
-    for kind in (
-        Lifecycle,
-        Load,
-        View,
-        StatusSeen,
-        ConfigurationSeen,
-        Handed,
-        Confirmed,
-        NotConfirmed,
-        WorkerUsage,
-    )
-}
+KINDS: dict[str, type[Record]] = {kind.__name__: kind for kind in get_args(Record)}
 DEAD_OR_LEFT = (Status.DEAD, Status.LEFT)
 
 
--- a/saltcourse/emulator/scale/report.py
+++ b/saltcourse/emulator/scale/report.py
@@ -88,6 +88,13 @@
     for name, change in figures.change_by_phase.items():
         yield f"phase_{name}_change_everywhere_s_max", _part(change.seconds, "max")
         yield f"phase_{name}_changes_missing", change.missing
+    if figures.real is not None:
+        yield "real_processes", figures.real.processes
+        yield "real_bytes_per_s_max", figures.real.bytes_per_s
+        yield "real_cpu_share_max", figures.real.cpu_share
+        yield "real_cpu_share_without", figures.real.cpu_share_without
+        yield "real_memory_mb_max", figures.real.memory_mb
+        yield "real_memory_mb_without", figures.real.memory_mb_without
     yield "process_cpu_share_with_harness", figures.workers_cpu_per_member
     yield "lag_p99_s", figures.lag_p99
     yield "lag_max_s", figures.lag_max
--- a/saltcourse/emulator/scale/runner.py
+++ b/saltcourse/emulator/scale/runner.py
@@ -34,6 +34,7 @@
 
 START_WITHIN = 30.0  # s for the workers to import and bind
 LEAD = 0.3  # s between the order to begin and the begin
+LEAD_OF_REAL = 1.5  # s, where real processes are started meanwhile
 END_WITHIN = 20.0  # s after the timeline's end, for the last records
 OPERATOR_STEP = 0.02  # s
 JOIN_WITHIN = 2.0  # s for a worker that was asked to end
@@ -72,8 +73,8 @@
         """Addresses of ``topology.real``."""
         return {}
 
-    def start(self, addresses: tuple[Address, ...], key: bytes, begin: float, records: RecordWriter) -> None:
-        """Called just before the begin of the run."""
+    def start(self, addresses: tuple[Address, ...], key: bytes, begin: float, records: Path) -> None:
+        """Called just before the begin of the run. What is seen of them goes to the file ``records``."""
 
     def close(self) -> None:
         """Ends all that was started."""
@@ -119,18 +120,19 @@
         paths = self._start_workers()
         addresses = self._exchange_addresses()
         operator_path = self._folder / f"{self._plan.mechanism}-{self._plan.size}-operator.jsonl"
+        real_path = self._folder / f"{self._plan.mechanism}-{self._plan.size}-real.jsonl"
         records = RecordWriter(operator_path)
         try:
-            begin = time.monotonic() + LEAD
-            self._real.start(addresses, self._key, begin, records)
-            begin = max(begin, time.monotonic() + LEAD)
+            begin = time.monotonic() + (LEAD_OF_REAL if self._topology.real else LEAD)
+            self._real.start(addresses, self._key, begin, real_path)
             for pipe in self._pipes:
                 pipe.send(Begin(begin))
             self._operate(begin, records)
         finally:
             self._real.close()
             records.close()
-        return RunRecords(self._plan, self._topology, self._timeline, (*paths, operator_path))
+        paths += [operator_path, *([real_path] if real_path.exists() else [])]
+        return RunRecords(self._plan, self._topology, self._timeline, tuple(paths))
 
     def _start_workers(self) -> list[Path]:
         context = multiprocessing.get_context("spawn")
