--- a/benchmarks/scale_real.py
+++ b/benchmarks/scale_real.py
@@ -1,5 +1,5 @@
-"""Real ``saltcourse serve`` processes that take part in a scale run: with push servers, client connections, and
-one more process without the feature, to tell what the feature costs.
+"""Real ``saltcourse serve`` processes that take part in a scale run, with push servers and client connections;
+and one more process without the feature, to tell what the feature costs.
 
 They are judged from outside: by their admin addresses and by ``/proc``.
 """
--- a/saltcourse/emulator/scale/measures.py
+++ b/saltcourse/emulator/scale/measures.py
@@ -83,8 +83,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RealCost:
-    """Of the real processes. CPU and memory are also told of the one that runs without the feature; its own are
-    the difference to be read. CPU is a share of a core, memory in MB, each the highest of any process."""
+    """Of the real processes, the highest of any: CPU as a share of a core, memory in MB. What the feature costs
+    is the difference to the process that runs without it."""
 
     processes: int
     bytes_per_s: float  # the worst window of the ordinary phases
--- a/saltcourse/emulator/scale/report.py
+++ b/saltcourse/emulator/scale/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
@@ -147,11 +148,8 @@
 
 def chart(runs: Sequence[Figures], path: Path) -> None:
     """Bytes and CPU of a proxy over the size of the fleet. ImportError without matplotlib."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
+    importlib.import_module("matplotlib").use("Agg")
+    pyplot = importlib.import_module("matplotlib.pyplot")
     figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4.5))
     for mechanism in sorted({run.mechanism for run in runs}):
         chosen = [run for run in runs if run.mechanism == mechanism and run.proxies is not None]
