--- a/benchmarks/scale_real.py
+++ b/benchmarks/scale_real.py
@@ -1,4 +1,4 @@
-"""Real ``saltcourse serve`` processes that take part in a scale run, with push servers and client connections;
+"""Real ``saltcourse serve`` processes that take part in a scale run, with push servers and clients;
 and one more process without the feature, to tell what the feature costs.
 
 They are judged from outside: by their admin addresses and by ``/proc``.
--- a/saltcourse/emulator/scale/measures.py
+++ b/saltcourse/emulator/scale/measures.py
@@ -83,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RealCost:
-    """Of the real processes, the highest of any: CPU as a share of a core, memory in MB. What the feature costs
+    """Of the real processes, the highest of any: CPU as a share of a core, memory in MB. The cost of gossip
     is the difference to the process that runs without it."""
 
     processes: int
--- a/saltcourse/emulator/scale/scenario.py
+++ b/saltcourse/emulator/scale/scenario.py
@@ -14,7 +14,7 @@
 from google.protobuf.message import Message
 
 from saltcourse.config import ConfigError
-from saltcourse.config.operator import key_lines
+from saltcourse.config.operator_file import key_lines
 from saltcourse.gossip.messages import MAX_LABEL_BYTES
 from saltcourse.schema import scenario_pb2 as pb
 
