--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -28,7 +28,7 @@
 from saltcourse.emulator.scale.mechanisms import GOSSIP, MESH, member_class  # noqa: E402
 from saltcourse.emulator.scale.records import read_records  # noqa: E402
 from saltcourse.emulator.scale.report import chart, flat_figures, table  # noqa: E402
-from saltcourse.emulator.scale.runner import RunError, RunPlan, play  # noqa: E402
+from saltcourse.emulator.scale.runner import RealProcesses, RunError, RunPlan, play  # noqa: E402
 from saltcourse.emulator.scale.scenario import Scenario, read_scenario  # noqa: E402
 
 SCENARIOS = ROOT / "benchmarks" / "scenarios"
@@ -72,10 +72,17 @@
 
 
 def run_one(plan: RunPlan, folder: Path, stop: threading.Event, progress: Callable[[float], None]) -> Figures:
-    records = play(plan, folder, stop, progress)
+    real = start_real() if plan.real else None
+    records = play(plan, folder, stop, progress, real)
     return judge(plan.mechanism, plan.seed, records.topology, records.timeline, read_records(records.paths))
 
 
+def start_real() -> RealProcesses:
+    from scale_real import RealFleet
+
+    return RealFleet()
+
+
 def run_all(plans: Sequence[RunPlan], at_once: int, progress: Progress, folder: Path) -> list[Figures]:
     """Figures in the order of the plans; what failed is told and left out."""
     stop = threading.Event()
--- a/benchmarks/scale_real.py
+++ b/benchmarks/scale_real.py
@@ -189,6 +189,8 @@
         for task in tasks.values():
             task.cancel()
         await asyncio.gather(*tasks.values(), return_exceptions=True)
+        # The toy's handlers are cancelled next, which its library would report for each of them.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
 
     # ---- what is seen of them ------------------------------------------------------------------------
 
--- a/saltcourse/emulator/scale/measures.py
+++ b/saltcourse/emulator/scale/measures.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import TypeVar, cast
 
 from saltcourse.emulator.scale.history import History, Interval, Steps
 from saltcourse.emulator.scale.records import (
@@ -83,8 +83,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RealCost:
-    """Of the real processes, the highest of any: CPU as a share of a core, memory in MB. The cost of gossip
-    is the difference to the process that runs without it."""
+    """Of the real processes in the first ordinary phase, the highest of any: CPU as a share of a core,
+    memory in MB. The cost of gossip is the difference to the process that runs without it."""
 
     processes: int
     bytes_per_s: float  # the worst window of the ordinary phases
@@ -137,15 +137,21 @@
         self._topology = topology
         self._timeline = timeline
         self._records = records
+        self._by_kind: dict[type[Record], list[Record]] = {}
+        for record in records:
+            self._by_kind.setdefault(type(record), []).append(record)
+        for of_kind in self._by_kind.values():
+            of_kind.sort(key=lambda record: getattr(record, "at", 0.0))
         self._end = timeline.end
         self._history = History(topology, self._of(Lifecycle))
         self._handed: dict[int, Handed] = {}
-        for handed in sorted(self._of(Handed), key=lambda record: record.at):
+        for handed in self._of(Handed):
             self._handed.setdefault(handed.change, handed)
         self._applied = self._first_applied()
 
     def _of(self, kind: type[Kind]) -> list[Kind]:
-        return [record for record in self._records if isinstance(record, kind)]
+        """Those of one kind, in the order of their time where they have one."""
+        return cast(list[Kind], self._by_kind.get(cast(type[Record], kind), []))
 
     def figures(self, mechanism: str, seed: int) -> Figures:
         usage = self._of(WorkerUsage)
@@ -217,7 +223,10 @@
 
     def _real_cost(self) -> RealCost | None:
         samples: dict[int, list[ProcessSample]] = {}
+        span = next((span for span in self._timeline.spans if span.ordinary), self._timeline.spans[0])
         for sample in self._of(ProcessSample):
+            if not span.begin <= sample.at <= span.end:
+                continue
             samples.setdefault(sample.member, []).append(sample)
         without = samples.pop(CONTROL_PROCESS, [])
         if not samples:
@@ -237,7 +246,7 @@
     def _first_applied(self) -> dict[int, dict[int, float]]:
         """Change -> member -> when its present process first had it in force."""
         found: dict[int, dict[int, float]] = {}
-        for seen in sorted(self._of(ConfigurationSeen), key=lambda record: record.at):
+        for seen in self._of(ConfigurationSeen):
             for change in seen.changes:
                 found.setdefault(change, {}).setdefault(seen.member, seen.at)
         self._add_real(found)
@@ -368,7 +377,7 @@
     def _members_agree(self, healed: float, until: float) -> float | None:
         """Until each live member's view is the truth, at one moment."""
         views: dict[int, Steps] = {}
-        for view in sorted(self._of(View), key=lambda record: record.at):
+        for view in self._of(View):
             views.setdefault(view.member, Steps()).add(view.at, (view.count, view.digest))
         at = healed
         while at <= until:
@@ -388,7 +397,7 @@
 
     def _configuration_agrees(self, healed: float, until: float) -> float | None:
         """Until each live member has what was the newest anywhere when the cut ended."""
-        seen = sorted(self._of(ConfigurationSeen), key=lambda record: record.at)
+        seen = self._of(ConfigurationSeen)
         newest = max((record.version for record in seen if record.at <= healed), default=0)
         reached: dict[int, float] = {}
         for record in seen:
--- a/saltcourse/emulator/scale/runner.py
+++ b/saltcourse/emulator/scale/runner.py
@@ -224,6 +224,8 @@
 
     def close(self) -> None:
         """Ends the workers that have not ended by themselves, and only these."""
+        for pipe in self._pipes:
+            pipe.close()  # whoever waits for an order ends by this
         for process in self._processes:
             process.join(JOIN_WITHIN if not self._stop.is_set() else 0.1)
             if process.is_alive():
@@ -232,5 +234,3 @@
             if process.is_alive():
                 process.kill()
                 process.join()
-        for pipe in self._pipes:
-            pipe.close()
--- a/saltcourse/emulator/scale/worker.py
+++ b/saltcourse/emulator/scale/worker.py
@@ -64,6 +64,7 @@
 COLLECT_INTERVAL = 2.0  # s between collections of garbage
 LAG_SAMPLES = 4_096
 LONGEST_WAIT = 0.5  # s in one poll
+LEAST_TICK_DELAY = 0.001  # s, as the gossip's host has it: a deadline that does not move must not spin
 STEPS_AT_ONCE = 256  # due events before sockets are read again
 EVERYONE = -1
 Expected = TypeVar("Expected")
@@ -236,7 +237,7 @@
         """A later deadline waits for the timer that is set; an earlier one gets its own."""
         if hosted.core is None:
             return
-        deadline = hosted.core.next_deadline
+        deadline = max(hosted.core.next_deadline, time.monotonic() + LEAST_TICK_DELAY)
         if hosted.timer is None or deadline < hosted.timer:
             hosted.timer = deadline
             self._at(deadline, lambda: self._ring(hosted, deadline))
