--- a/saltcourse/gossip/quorum.py
+++ b/saltcourse/gossip/quorum.py
@@ -105,6 +105,7 @@
         self._voters = voters
         self._index = voters.index(me)
         self._others = tuple(voter for voter in voters if voter != me)
+        self._voter_ids = tuple(voter.id for voter in voters)
         self._timing = timing
         self._random = source
         self._queue = PublishQueue()
@@ -252,14 +253,15 @@
 
     def _is_allowed(self, sender: MemberId, message: QuorumMessage) -> bool:
         """Only voters take part, and only its owner may use an epoch."""
-        if sender not in (voter.id for voter in self._others):
+        if sender not in self._voter_ids or sender == self._voter_ids[self._index]:
             return False
         if isinstance(message, Prepare | Propose | LeaseRequest):
-            return self._owner(message.epoch).id == sender
+            return self._voter_ids[self._owner(message.epoch)] == sender
         return True
 
-    def _owner(self, epoch: int) -> Voter:
-        return self._voters[epoch % len(self._voters)]
+    def _owner(self, epoch: int) -> int:
+        """Index of the voter that an epoch belongs to."""
+        return epoch % len(self._voters)
 
     def _see_epoch(self, now: float, epoch: int) -> None:
         self._newest_epoch = max(self._newest_epoch, epoch)
@@ -375,13 +377,13 @@
         if self._recovered:
             return self._recovered.popleft()
         while self._queue.waiting:
-            pending = self._queue.take()
-            if not self._projected.fits(pending.event.writes):
-                self._results.append(PublishFailed(pending.event.token, PublishError.TOO_LARGE))
-                continue
-            position = Position(self._epoch, self._last_proposed + 1)
-            self._queue.proposed(position, pending)
-            return Change(position, pending.event.writes)
+            event = self._queue.next_waiting()
+            if self._projected.fits(event.writes):
+                position = Position(self._epoch, self._last_proposed + 1)
+                self._queue.propose(position)
+                return Change(position, event.writes)
+            self._queue.refuse()
+            self._results.append(PublishFailed(event.token, PublishError.TOO_LARGE))
         return None
 
     def _propose(self, change: Change) -> None:
@@ -408,7 +410,7 @@
 
     def _acknowledge_held(self) -> None:
         epoch = self.acceptor.accepted[-1].epoch
-        self._acknowledge(self._owner(epoch).address, epoch)
+        self._acknowledge(self._voters[self._owner(epoch)].address, epoch)
 
     def _on_accepted(self, sender: MemberId, message: Accepted) -> None:
         if message.epoch != self._epoch or self.phase is not Phase.PUBLISHING:
@@ -498,13 +500,13 @@
     # ---- operators --------------------------------------------------------------------------------
 
     def _tell_published(self, position: Position) -> None:
-        pending = self._queue.committed(position)
-        if pending is not None:
-            self._results.append(Published(pending.event.token, position))
+        event = self._queue.commit(position)
+        if event is not None:
+            self._results.append(Published(event.token, position))
 
     def _expire(self, now: float) -> None:
-        for pending in self._queue.expire(now):
-            self._results.append(PublishFailed(pending.event.token, PublishError.NO_MAJORITY))
+        for event in self._queue.expire(now):
+            self._results.append(PublishFailed(event.token, PublishError.NO_MAJORITY))
 
     # ---- actions ----------------------------------------------------------------------------------
 
