Scale run: only the scenario file's reader needs protobuf; the mesh by its new names

Change: the reader has its own module, the one that the test now lists among those that need protobuf; nothing else of it changes. The mesh follows the renamed events of fleet/.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -29,7 +29,8 @@
 from saltcourse.emulator.scale.records import read_records  # noqa: E402
 from saltcourse.emulator.scale.report import chart, flat_figures, table  # noqa: E402
 from saltcourse.emulator.scale.runner import RealProcesses, RunError, RunPlan, play  # noqa: E402
-from saltcourse.emulator.scale.scenario import Scenario, read_scenario  # noqa: E402
+from saltcourse.emulator.scale.scenario import Scenario  # noqa: E402
+from saltcourse.emulator.scale.scenario_file import read_scenario  # noqa: E402
 
 SCENARIOS = ROOT / "benchmarks" / "scenarios"
 WORKERS = 6  # processes in all
--- a/saltcourse/emulator/scale/mesh.py
+++ b/saltcourse/emulator/scale/mesh.py
@@ -17,7 +17,7 @@
     StatusObserved,
     view_of,
 )
-from saltcourse.fleet.core import Fleet, Heard, Sends, Tick
+from saltcourse.fleet.core import Fleet, Received, Sends, Tick
 from saltcourse.gossip.messages import Address, Status, Transmit
 from saltcourse.interface import FleetTerms, RequestClass, Settings
 
@@ -74,7 +74,7 @@
         return output
 
     def _take(self, now: float, sender: int, datagram: bytes) -> Sends:
-        return self._fleet.handle(now, Heard(sender, datagram.decode("ascii")))
+        return self._fleet.handle(now, Received(sender, datagram.decode("ascii")))
 
     def tick(self, now: float) -> Output:
         self._play_connections(now)
--- /dev/null
+++ b/saltcourse/emulator/scale/scenario_file.py
@@ -0,0 +1,225 @@
+"""The scenario file of a scale run: protobuf text format, schema in ``saltcourse/schema/scenario.proto``.
+
+Whatever is wrong raises ``ConfigError`` with the file, the line and the path of the key.
+"""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import NoReturn
+
+from google.protobuf import text_format
+from google.protobuf.message import Message
+
+from saltcourse.config import ConfigError
+from saltcourse.config.operator_file import key_lines
+from saltcourse.emulator.scale.scenario import (
+    Arrivals,
+    Burst,
+    Fault,
+    Kill,
+    Link,
+    Links,
+    Phase,
+    PublisherLost,
+    RackOutage,
+    RegionCut,
+    RollingReplacement,
+    Scenario,
+    StopResume,
+    Zone,
+    ZoneOutage,
+)
+from saltcourse.gossip.messages import MAX_LABEL_BYTES
+from saltcourse.schema import scenario_pb2 as pb
+
+LEAST_SIZE, MOST_SIZE = 2, 2_000  # proxies of one run
+MOST_ZONES = 32
+MOST_PHASES = 32
+MOST_SECONDS = 3_600.0  # of a phase
+MOST_DELAY_MS = 1_000.0
+MOST_CONTROL_MEMBERS = 64
+MOST_BURST = 1_000
+PHASE_NAME = re.compile(r"[a-z][a-z0-9_]{0,30}")
+
+
+def read_scenario(path: Path) -> Scenario:
+    """ConfigError when the file cannot be read or says something impossible."""
+    return _Reader(path).scenario()
+
+
+class _Reader:
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        try:
+            text = path.read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            reason = getattr(error, "strerror", None) or "not UTF-8"
+            raise ConfigError(f"--scenario {path}: {reason}") from None
+        self._file = pb.Scenario()
+        try:
+            text_format.Parse(text, self._file)
+        except text_format.ParseError as error:
+            reason = re.sub(r"^\d+:\d+ : ", "", str(error))
+            raise ConfigError(f"{path}:{error.GetLine() or 1}: {reason}") from None
+        self._lines = key_lines(text)
+
+    def _wrong(self, key: str, reason: str) -> NoReturn:
+        """The line of the key, or of the nearest part around it that is there."""
+        nearest = key
+        while nearest:
+            indexed = re.sub(r"(\w)(?=\.|$)", r"\1[0]", nearest)
+            if indexed in self._lines:
+                raise ConfigError(f"{self._path}:{self._lines[indexed]}: {key}: {reason}")
+            nearest = nearest.rpartition(".")[0]
+        raise ConfigError(f"{self._path}:1: {key}: {reason}")
+
+    def _number(self, part: Message, key: str, least: float, most: float) -> float:
+        """The field that the last name of ``key`` names."""
+        value = float(getattr(part, key.rpartition(".")[2]))
+        if not least <= value <= most:
+            self._wrong(key, f"must be from {least:g} to {most:g}, not {value:g}")
+        return value
+
+    def _count(self, part: Message, key: str, least: int, most: int) -> int:
+        return int(self._number(part, key, least, most))
+
+    def scenario(self) -> Scenario:
+        file = self._file
+        zones = self._zones()
+        machines, control = file.machines, file.control
+        control_members = self._count(control, "control.members", 1, MOST_CONTROL_MEMBERS)
+        return Scenario(
+            sizes=self._sizes(),
+            zones=zones,
+            links=self._links(),
+            members_per_machine=self._count(machines, "machines.members_per_machine", 1, 100),
+            machines_per_rack=self._count(machines, "machines.machines_per_rack", 1, 1_000),
+            control_members=control_members,
+            voters=self._count(control, "control.voters", 1, control_members),
+            arrivals=self._arrivals(),
+            start_over=self._number(file, "start_over_s", 0, MOST_SECONDS),
+            settle=self._number(file, "settle_s", 0, MOST_SECONDS),
+            phases=self._phases(),
+            sizes_at_once=file.sizes_at_once,
+        )
+
+    def _sizes(self) -> tuple[int, ...]:
+        if not self._file.size:
+            self._wrong("size", "missing: the number of proxies")
+        for index, size in enumerate(self._file.size):
+            if not LEAST_SIZE <= size <= MOST_SIZE:
+                self._wrong(f"size[{index}]", f"must be from {LEAST_SIZE} to {MOST_SIZE}, not {size}")
+        return tuple(sorted(set(self._file.size)))
+
+    def _zones(self) -> tuple[Zone, ...]:
+        zones: list[Zone] = []
+        for r, region in enumerate(self._file.region):
+            self._label(f"region[{r}].name", region.name)
+            if not region.zone:
+                self._wrong(f"region[{r}].zone", "missing")
+            for z, name in enumerate(region.zone):
+                key = f"region[{r}].zone[{z}]"
+                self._label(key, name)
+                if name in [zone.name for zone in zones]:
+                    self._wrong(key, f"{name!r} stands twice")
+                zones.append(Zone(name, region.name))
+        if not 1 <= len(zones) <= MOST_ZONES:
+            self._wrong("region", f"from 1 to {MOST_ZONES} zones, not {len(zones)}")
+        return tuple(zones)
+
+    def _label(self, key: str, label: str) -> None:
+        if not 1 <= len(label.encode()) <= MAX_LABEL_BYTES:
+            self._wrong(key, f"from 1 to {MAX_LABEL_BYTES} bytes, not {label!r}")
+
+    def _links(self) -> Links:
+        links = self._file.links
+        return Links(
+            in_zone=self._link("links.in_zone", links.in_zone),
+            in_region=self._link("links.in_region", links.in_region),
+            between_regions=self._link("links.between_regions", links.between_regions),
+        )
+
+    def _link(self, key: str, link: pb.Link) -> Link:
+        least = self._number(link, f"{key}.least_delay_ms", 0, MOST_DELAY_MS)
+        most = self._number(link, f"{key}.most_delay_ms", least, MOST_DELAY_MS)
+        return Link(least / 1_000, most / 1_000, self._number(link, f"{key}.loss", 0, 0.9))
+
+    def _arrivals(self) -> Arrivals:
+        arrivals = self._file.arrivals
+        return Arrivals(
+            connections_per_s=self._number(arrivals, "arrivals.connections_per_s", 0, 1_000),
+            life=self._number(arrivals, "arrivals.life_s", 0.1, 86_400),
+            servers_per_proxy=self._number(arrivals, "arrivals.servers_per_proxy", 0.01, 1_000),
+            groups_per_server=self._count(arrivals, "arrivals.groups_per_server", 1, 1_000),
+        )
+
+    def _phases(self) -> tuple[Phase, ...]:
+        if not 1 <= len(self._file.phase) <= MOST_PHASES:
+            self._wrong("phase", f"from 1 to {MOST_PHASES}, not {len(self._file.phase)}")
+        phases: list[Phase] = []
+        for index, phase in enumerate(self._file.phase):
+            key = f"phase[{index}]"
+            if not PHASE_NAME.fullmatch(phase.name):
+                self._wrong(f"{key}.name", f"small letters, digits and underscores, not {phase.name!r}")
+            if phase.name in [earlier.name for earlier in phases]:
+                self._wrong(f"{key}.name", f"{phase.name!r} stands twice")
+            seconds = self._number(phase, f"{key}.seconds", 1, MOST_SECONDS)
+            changes = self._number(phase, f"{key}.changes_per_s", 0, 20)
+            faults = tuple(
+                self._fault(f"{key}.fault[{f}]", fault, seconds) for f, fault in enumerate(phase.fault)
+            )
+            phases.append(Phase(phase.name, seconds, changes, faults))
+        return tuple(phases)
+
+    def _fault(self, key: str, fault: pb.Fault, phase_seconds: float) -> Fault:
+        at = self._number(fault, f"{key}.at_s", 0, phase_seconds)
+        left = phase_seconds - at
+        kind = fault.WhichOneof("kind")
+        if kind is None:
+            self._wrong(
+                key,
+                "what fails? kill, stop_resume, rolling_replacement, rack, zone, cut_regions, "
+                "publisher_lost or burst",
+            )
+        part = f"{key}.{kind}"
+        match kind:
+            case "kill":
+                return Kill(
+                    at,
+                    self._count(fault.kill, f"{part}.machines", 1, 1_000),
+                    self._number(fault.kill, f"{part}.restart_after_s", 0, left),
+                )
+            case "stop_resume":
+                return StopResume(
+                    at,
+                    self._count(fault.stop_resume, f"{part}.members", 1, 1_000),
+                    self._number(fault.stop_resume, f"{part}.seconds", 0.1, left),
+                )
+            case "rolling_replacement":
+                return self._rolling(part, fault.rolling_replacement, at, left)
+            case "rack":
+                return RackOutage(at, self._number(fault.rack, f"{part}.seconds", 0.1, left))
+            case "zone":
+                return ZoneOutage(at, self._number(fault.zone, f"{part}.seconds", 0.1, left))
+            case "cut_regions":
+                seconds = self._number(fault.cut_regions, f"{part}.seconds", 0.1, left)
+                return RegionCut(at, seconds, fault.cut_regions.conflicting_change)
+            case "publisher_lost":
+                lost = fault.publisher_lost
+                return PublisherLost(
+                    at,
+                    self._number(lost, f"{part}.after_ms", 0, 10_000) / 1_000,
+                    self._number(lost, f"{part}.restart_after_s", 0, left),
+                )
+            case _:
+                return Burst(at, self._count(fault.burst, f"{part}.changes", 1, MOST_BURST))
+
+    def _rolling(self, key: str, rolling: pb.RollingReplacement, at: float, left: float) -> Fault:
+        members = self._count(rolling, f"{key}.members", 1, 1_000)
+        every = self._number(rolling, f"{key}.every_s", 0, left)
+        down = self._number(rolling, f"{key}.down_s", 0, left)
+        if every * (members - 1) + down > left:
+            self._wrong(key, f"takes longer than the {left:g} s that are left of the phase")
+        return RollingReplacement(at, members, every, down)
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -21,7 +21,7 @@
     ".hypothesis")
 EXTRAS = "membership,gossip"  # those that modules of the package need
 NEED_AN_EXTRA = ("saltcourse.schema.", "saltcourse.config.operator", "saltcourse.membership.",
-                 "saltcourse.gossip.")
+                 "saltcourse.gossip.", "saltcourse.emulator.scale.scenario_file.")
 OF_THE_EXTRAS = "google"  # the package that they need
 NOT_IN_THE_DAEMON = ("matplotlib", "psutil", "hdrh", "rich")  # modules of the extra 'scale'
 LIMIT = 300.0  # s for any one step; the longest fetches packages from the index
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -49,8 +49,8 @@
     Scenario,
     StopResume,
     ZoneOutage,
-    read_scenario,
 )
+from saltcourse.emulator.scale.scenario_file import read_scenario
 from saltcourse.emulator.scale.sockets import Paths
 from saltcourse.emulator.scale.summary import growth_exponent, percentile, window_means
 from saltcourse.emulator.scale.timeline import Act, Duty, PhaseSpan, Publication, Timeline, build_timeline
