--- a/saltcourse/config/operator_gossip.py
+++ b/saltcourse/config/operator_gossip.py
@@ -11,13 +11,12 @@
 from saltcourse.config.operator_file import OperatorFile
 from saltcourse.gossip.fields import encode_text
 from saltcourse.gossip.messages import MAX_LABEL_BYTES, MAX_NAME_BYTES, Address, Role
-from saltcourse.gossip.settings import Timing, Voter
+from saltcourse.gossip.settings import Timing, Voter, default_bytes_per_s
 
 MIN_KEY_BYTES = 16
 MAX_KEYS = 1
 MAX_VOTERS = 9  # each change is on the disks of a majority before it holds: more voters make it slower
 SECTION = "gossip"
-DEFAULT_BYTES_PER_S = 21_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +94,7 @@
             key_file=self._file.path.parent / section.key_file,
             key=self._file.keys(f"{SECTION}.key_file", section.key_file, MIN_KEY_BYTES, MAX_KEYS)[0],
             store_file=self._file.store(f"{SECTION}.store_file", section.store_file),
-            bytes_per_s=self._number("bytes_per_s", DEFAULT_BYTES_PER_S, BYTES_PER_S),
+            bytes_per_s=self._number("bytes_per_s", default_bytes_per_s(Role(section.role)), BYTES_PER_S),
             timing=self._timing(),
         )
         self._check_voter(settings)
--- a/saltcourse/emulator/scale/gossip.py
+++ b/saltcourse/emulator/scale/gossip.py
@@ -44,7 +44,7 @@
 )
 from saltcourse.gossip.node import Node
 from saltcourse.gossip.quorum import Phase
-from saltcourse.gossip.settings import NodeSettings, Voter
+from saltcourse.gossip.settings import NodeSettings, Voter, default_bytes_per_s
 
 COUNT_INTERVAL = 1.0  # s between the connection counts that a proxy tells, as its host does
 LEFT_KEY = "scale/{}/left"
@@ -140,6 +140,7 @@
         seeds=tuple(seat.addresses[place.index] for place in control if place != seat.place),
         voters=tuple(Voter(place.name, seat.addresses[place.index]) for place in seat.topology.voters),
         key=seat.key,
+        bytes_per_s=default_bytes_per_s(seat.place.role),
     )
 
 
--- a/saltcourse/gossip/settings.py
+++ b/saltcourse/gossip/settings.py
@@ -4,7 +4,14 @@
 
 from dataclasses import dataclass, field
 
-from saltcourse.gossip.messages import Address, MemberId, MemberRecord, member_id
+from saltcourse.gossip.messages import Address, MemberId, MemberRecord, Role, member_id
+
+PROXY_BYTES_PER_S = 21_000.0  # docs/CAPACITY.md: what control may cost a proxy, sent plus received
+CONTROL_BYTES_PER_S = 250_000.0  # control members have machines of their own, and answer many at once
+
+
+def default_bytes_per_s(role: Role) -> float:
+    return CONTROL_BYTES_PER_S if role is Role.CONTROL else PROXY_BYTES_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,5 +58,5 @@
     seeds: tuple[Address, ...]  # asked for the member table at the start, and again while nobody is known
     voters: tuple[Voter, ...]
     key: bytes  # shared by all members; authenticates each datagram
-    bytes_per_s: float = 21_000.0  # sent and received, IP and UDP headers included
+    bytes_per_s: float = PROXY_BYTES_PER_S  # sent and received, IP and UDP headers included
     timing: Timing = field(default_factory=Timing)
