--- /dev/null
+++ b/saltcourse/emulator/gossip/world.py
@@ -0,0 +1,324 @@
+"""A fleet of gossip nodes in virtual time: hosts with disks, faults, operators, and the judge."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from saltcourse.emulator.gossip.judge import LEFT_KEY, RIGHT_KEY, TOKEN_PREFIX, Judge, Process
+from saltcourse.emulator.gossip.network import Faults, FleetHost, FleetNetwork, Place
+from saltcourse.emulator.simnet import Host
+from saltcourse.gossip.messages import (
+    Action,
+    Address,
+    Applied,
+    FreshnessChanged,
+    MemberChanged,
+    MemberRecord,
+    Persist,
+    Position,
+    Publish,
+    Published,
+    PublishFailed,
+    ReplicaState,
+    Role,
+    Status,
+    Tick,
+    Transmit,
+    Write,
+    ZoneReachability,
+)
+from saltcourse.gossip.node import Node
+from saltcourse.gossip.settings import NodeSettings, Timing, Voter
+
+PLACES = (
+    Place("north", "n1"),
+    Place("north", "n2"),
+    Place("north", "n3"),
+    Place("south", "s1"),
+    Place("south", "s2"),
+)
+KEY = b"a key that all members share 123"
+PORT = 7946
+SCAN_INTERVAL = 0.5  # s between looks at what is judged by time
+CLOCK_RATE_ERROR = 2e-4
+MOST_CLOCK_OFFSET = 1e6  # s
+Matcher = Callable[[Action], bool]
+NodeClass = Callable[[NodeSettings, random.Random, ReplicaState | None], Node]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Who runs on a host."""
+
+    name: str
+    place: Place
+    address: Address
+    role: Role
+
+
+@dataclass
+class Interruption:
+    """The process dies when it comes to an action that matches, ``after`` it or before it."""
+
+    matches: Matcher
+    after: bool = False
+
+
+class World:
+    """Control members ``control-0`` to ``control-4``, one a zone, and proxies ``proxy-0`` and so on."""
+
+    def __init__(
+        self,
+        seed: int,
+        proxies: int,
+        faults: Faults | None = None,
+        timing: Timing | None = None,
+        node_class: NodeClass = Node,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.timing = timing or Timing()
+        self.node_class = node_class
+        self.judge = Judge()
+        self.network = FleetNetwork(seed, self._deliver, faults or Faults())
+        self.members: dict[str, Member] = {}  # by host
+        self.processes: dict[str, Process] = {}  # by host; those that run
+        self.interruptions: dict[str, Interruption] = {}  # by host
+        self.undisturbed_since = 0.0
+        self._token = 0
+        controls = [self._member(f"control-{i}", PLACES[i], i, Role.CONTROL) for i in range(len(PLACES))]
+        for i in range(proxies):
+            self._member(f"proxy-{i}", PLACES[i % len(PLACES)], len(PLACES) + i, Role.PROXY)
+        self.voters = tuple(Voter(m.name, m.address) for m in controls)
+        self.seeds = tuple(m.address for m in controls)
+        self._scan()
+
+    def _member(self, name: str, place: Place, index: int, role: Role) -> Member:
+        return self.add(name, Member(name, place, (f"10.{PLACES.index(place)}.0.{index + 1}", PORT), role))
+
+    def add(self, host: str, member: Member) -> Member:
+        """A host for this member; it is not started."""
+        rate = 1.0 + self.random.uniform(-CLOCK_RATE_ERROR, CLOCK_RATE_ERROR)
+        self.network.add(FleetHost(host, rate=rate, place=member.place, address=member.address))
+        self.members[host] = member
+        return member
+
+    # ---- processes --------------------------------------------------------------------------------
+
+    def start_all(self) -> None:
+        for host in self.members:
+            self.start(host)
+
+    def start(self, host_name: str, key: bytes = KEY) -> None:
+        """A new process with what the disk kept, and a monotonic clock that begins anywhere."""
+        host = self.network.fleet[host_name]
+        host.alive, host.stopped = True, False
+        host.offset = self.random.uniform(0.0, MOST_CLOCK_OFFSET)
+        host.armed = float("inf")
+        member = self.members[host_name]
+        record = MemberRecord(
+            member.name,
+            member.address,
+            member.place.region,
+            member.place.zone,
+            member.role,
+            0,
+            self.random.getrandbits(32),
+        )
+        settings = NodeSettings(record, self.seeds, self.voters, key, timing=self.timing)
+        source = random.Random(self.random.getrandbits(64))
+        node = self.node_class(settings, source, host.disk)
+        clock = host.clock(self.network.now)
+        self.judge.now = self.network.now
+        actions = node.start(clock)
+        tells = any(isinstance(action, Applied) for action in actions)
+        started_at = Position() if tells else node.dissemination.position
+        process = Process(host_name, member.name, node, started_at, node.dissemination.freshness)
+        self.processes[host_name] = process
+        kept = host.disk.committed if host.disk is not None else Position()
+        self.judge.restored(process, kept)
+        self._carry_out(host, process, actions)
+
+    def crash(self, host_name: str, keeps_disk: bool = True) -> None:
+        self.network.crash(self.network.fleet[host_name], keeps_disk)
+        self.processes.pop(host_name, None)
+        self.interruptions.pop(host_name, None)
+        self.disturbed()
+
+    def restart(self, host_name: str) -> None:
+        self.crash(host_name)
+        self.start(host_name)
+
+    def stop(self, host_name: str) -> None:
+        self.network.stop(self.network.fleet[host_name])
+        self.disturbed()
+
+    def resume(self, host_name: str) -> None:
+        host = self.network.fleet[host_name]
+        self.processes[host_name].alone_since = None
+        self.network.go_on(host)
+        self.network.give(host, Tick())
+        self.disturbed()
+
+    def tell(self, host_name: str, event: Any) -> None:
+        self.network.give(self.network.fleet[host_name], event)
+
+    def die_at(self, host_name: str, matches: Matcher, after: bool = False) -> None:
+        self.interruptions[host_name] = Interruption(matches, after)
+
+    def disturbed(self) -> None:
+        self.undisturbed_since = self.network.now
+
+    # ---- network ----------------------------------------------------------------------------------
+
+    def partition(self, *sides: Iterable[str]) -> None:
+        """Hosts that are in none of the sides stay together as one more."""
+        groups = {host: i + 1 for i, side in enumerate(sides) for host in side}
+        self.network.partition(groups)
+        self.judge.cut_versions.clear()
+        for voter in self.voters:
+            side = {v.name for v in self.voters if self.network.connected(voter.name, v.name)}
+            if len(side) <= len(self.voters) // 2:
+                self.judge.cut_versions[voter.name] = self._agreed_version(side)
+        self.disturbed()
+
+    def heal(self) -> None:
+        self.network.heal()
+        self.judge.cut_versions.clear()
+        self.disturbed()
+
+    def _agreed_version(self, side: set[str]) -> int:
+        """What voters of this smaller side may rightly publish: known versions, and those that a voter beyond
+        the cut has accepted on its disk."""
+        states = [self.network.fleet[v.name].disk for v in self.voters if v.name not in side]
+        accepted = [s.accepted.position.version for s in states if s is not None and s.accepted is not None]
+        return max([*self.judge.versions, *accepted], default=0)
+
+    def hosts_in(self, zone: str | None = None, region: str | None = None) -> list[str]:
+        return [
+            h
+            for h, m in self.members.items()
+            if zone in (None, m.place.zone) and region in (None, m.place.region)
+        ]
+
+    def has_majority(self, host: str) -> bool:
+        """Whether a majority of the voters runs and is connected to it."""
+        return len(self._voters_of(host)) > len(self.voters) // 2
+
+    def _voters_of(self, host: str) -> list[str]:
+        hosts = self.network.hosts
+        return [
+            v.name
+            for v in self.voters
+            if self.network.connected(host, v.name) and hosts[v.name].alive and not hosts[v.name].stopped
+        ]
+
+    def running(self) -> list[str]:
+        return [h for h in self.processes if not self.network.fleet[h].stopped]
+
+    # ---- operators --------------------------------------------------------------------------------
+
+    def publish(self, host: str, extra: tuple[Write, ...] = ()) -> int:
+        """An operator's change at a control member; its token."""
+        self._token += 1
+        mark = str(self._token).encode()
+        writes: tuple[Write, ...] = (
+            (LEFT_KEY, mark),
+            (f"{TOKEN_PREFIX}{self._token}", mark),
+            *extra,
+            (RIGHT_KEY, mark),
+        )
+        self.tell(host, Publish(self._token, writes))
+        return self._token
+
+    def publisher(self) -> str | None:
+        """The host of the voter whose heartbeat is the newest one known in the fleet."""
+        beats = [p.node.dissemination.heartbeat for p in self.processes.values()]
+        newest = max(beats, default=None)
+        if newest is None or newest.count == 0:
+            return None
+        return self.voters[newest.epoch % len(self.voters)].name
+
+    # ---- time -------------------------------------------------------------------------------------
+
+    def run(self, seconds: float) -> None:
+        self.network.run(self.network.now + seconds)
+
+    def run_until(self, holds: Callable[[], bool], most: float, step: float = 0.1) -> float:
+        """How long it took; ``most`` when it never came to hold."""
+        begun = self.network.now
+        while not holds() and self.network.now - begun < most:
+            self.run(step)
+        return self.network.now - begun
+
+    def _scan(self) -> None:
+        self.judge.now = self.network.now
+        for host in self.running():
+            self.judge.judge_freshness(self.processes[host], self.has_majority(host), self.timing.stale_after)
+        self.network.at(self.network.now + SCAN_INTERVAL, self._scan)
+
+    def _deliver(self, host: Host, event: Any) -> None:
+        assert isinstance(host, FleetHost)
+        process = self.processes[host.name]
+        self.judge.now = self.network.now
+        self._carry_out(host, process, process.node.handle(host.clock(self.network.now), event))
+
+    # ---- actions ----------------------------------------------------------------------------------
+
+    def _carry_out(self, host: FleetHost, process: Process, actions: list[Action]) -> None:
+        last_applied = max((i for i, a in enumerate(actions) if isinstance(a, Applied)), default=-1)
+        for i, action in enumerate(actions):
+            interruption = self.interruptions.get(host.name)
+            matched = interruption is not None and interruption.matches(action)
+            if matched and interruption is not None and not interruption.after:
+                return self.crash(host.name)
+            self._carry_out_one(host, process, action, i == last_applied)
+            if matched:
+                return self.crash(host.name)
+        self.judge.event_done(process)
+        self.network.arm(host, process.node.next_deadline())
+
+    def _carry_out_one(
+        self, host: FleetHost, process: Process, action: Action, is_last_applied: bool
+    ) -> None:
+        match action:
+            case Transmit(destination, datagram):
+                self.network.transmit(host, destination, datagram)
+            case Persist(state):
+                host.disk = state
+            case Applied():
+                self.judge.applied(process, action, is_last_applied)
+            case Published():
+                self.judge.told_published(process, action)
+            case PublishFailed():
+                self.judge.told_failed(action)
+            case MemberChanged():
+                self.judge.told_member(process, action)
+            case FreshnessChanged():
+                self.judge.told_freshness(process, action)
+            case ZoneReachability():
+                self.judge.told_zone(process, action)
+
+    # ---- agreement --------------------------------------------------------------------------------
+
+    def disagreement(self, hosts: Iterable[str] | None = None) -> str:
+        """Why the running hosts do not agree on the configuration or on who is alive; empty if they do."""
+        hosts = list(hosts if hosts is not None else self.running())
+        newest = max((self.processes[h].position for h in hosts), default=None)
+        expected = {self.members[h].name for h in hosts}
+        for host in hosts:
+            process = self.processes[host]
+            if process.position != newest:
+                return f"{host} is at {process.position}, another at {newest}"
+            table = process.node.membership.members.values()
+            held = {m.record.name for m in table if m.status is Status.ALIVE}
+            if held != expected:
+                return f"{host} lacks {sorted(expected - held)} and has {sorted(held - expected)} too many"
+        return ""
+
+
+def renamed(member: Member, name: str) -> Member:
+    """Another member at the same address."""
+    return replace(member, name=name)
