--- a/saltcourse/emulator/gossip/world.py
+++ b/saltcourse/emulator/gossip/world.py
@@ -111,11 +111,12 @@
         for host in self.members:
             self.start(host)
 
-    def start(self, host_name: str, key: bytes = KEY) -> None:
+    def start(self, host_name: str, key: bytes = KEY, clock_offset: float | None = None) -> None:
         """A new process with what the disk kept, and a monotonic clock that begins anywhere."""
         host = self.network.fleet[host_name]
         host.alive, host.stopped = True, False
-        host.offset = self.random.uniform(0.0, MOST_CLOCK_OFFSET)
+        drawn = self.random.uniform(0.0, MOST_CLOCK_OFFSET)
+        host.offset = drawn if clock_offset is None else clock_offset
         host.armed = float("inf")
         member = self.members[host_name]
         record = MemberRecord(
@@ -147,9 +148,9 @@
         self.interruptions.pop(host_name, None)
         self.disturbed()
 
-    def restart(self, host_name: str) -> None:
+    def restart(self, host_name: str, clock_offset: float | None = None) -> None:
         self.crash(host_name)
-        self.start(host_name)
+        self.start(host_name, clock_offset=clock_offset)
 
     def stop(self, host_name: str) -> None:
         self.network.stop(self.network.fleet[host_name])
--- /dev/null
+++ b/tests/test_gossip_model.py
@@ -0,0 +1,426 @@
+"""The whole gossip node in virtual time: random schedules of faults, named hard cases, figures, and nodes
+that are broken on purpose."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from saltcourse.emulator.gossip.judge import Broken, elements
+from saltcourse.emulator.gossip.network import Faults
+from saltcourse.emulator.gossip.scenario import (
+    AGREED_WITHIN,
+    TAKEOVER_WITHIN,
+    change_in_force,
+    false_alarms,
+    formed,
+    kill_and_detect,
+    publish_until_told,
+    publisher_of,
+    publishes,
+    traffic_per_s,
+    transmits,
+    within,
+)
+from saltcourse.emulator.gossip.schedule import CHANGE_WITHIN, play
+from saltcourse.emulator.gossip.world import KEY, PORT, Member, World
+from saltcourse.gossip.codec import Codec
+from saltcourse.gossip.messages import (
+    Applied,
+    ConnectionCount,
+    Freshness,
+    Gossip,
+    Header,
+    Heartbeat,
+    MemberRecord,
+    Position,
+    Prepare,
+    Propose,
+    Published,
+    PublishError,
+    Role,
+    SnapshotPart,
+    Status,
+    SyncReply,
+    Tally,
+    ZoneSum,
+    member_id,
+)
+
+SCHEDULES = 30
+BYTES_PER_S = 21_000
+MOST_GROWTH = 1.5  # of bytes per member from 20 to 60 members
+MOST_FALSE_SUSPICIONS = 1  # in two minutes with 1 in 200 datagrams lost and one process starved for 5 s
+CUT_SECONDS = 120.0
+HOUR = 3_600.0
+
+
+@pytest.mark.parametrize("seed", range(SCHEDULES))
+def test_a_random_schedule_of_faults_breaks_no_property(seed: int) -> None:
+    play(seed)
+
+
+def test_a_schedule_gives_the_same_verdict_every_time() -> None:
+    assert play(3) == play(3)
+
+
+# ---- liveness and figures ---------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_change_is_everywhere_in_5_s_with_loss_and_two_failures(seed: int) -> None:
+    world = formed(seed, 15)
+    publisher = publisher_of(world)
+    control = next(v.name for v in world.voters if v.name != publisher)
+    world.crash(control)
+    world.crash("proxy-3")
+    world.run(0.5)
+    token = world.publish(publisher)
+    change_in_force(world, token, CHANGE_WITHIN)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_killed_member_is_known_everywhere_within_the_stated_time(seed: int) -> None:
+    kill_and_detect(formed(seed, 15), "proxy-4")
+
+
+def cut_region(world: World) -> None:
+    """The south, with two voters, is cut off for two minutes and then heard again; both sides are judged."""
+    publisher_in(world, "north")
+    begun = world.network.now
+    world.partition(world.hosts_in(region="south"))
+    world.run(CUT_SECONDS)
+    for host in world.hosts_in(region="south"):
+        assert world.processes[host].freshness is not Freshness.CURRENT
+    for host in world.hosts_in(region="north"):
+        assert world.processes[host].freshness is Freshness.CURRENT
+    assert false_alarms(world, begun, "").deaths == 0  # silent zones are not heaps of dead members
+
+
+def test_after_a_region_cut_of_120_s_all_agree_within_10_s() -> None:
+    world = formed(1, 15)
+    cut_region(world)
+    token = publish_until_told(world, publisher_of(world))
+    world.heal()
+    healed = world.network.now
+    within(world, AGREED_WITHIN, lambda: world.disagreement() or publishes(world), "all agree")
+    change_in_force(world, token, 0.0)
+    assert false_alarms(world, healed, "").suspicions <= MOST_FALSE_SUSPICIONS
+
+
+def test_loss_and_a_starved_process_cause_no_false_deaths_and_few_suspicions() -> None:
+    world = formed(2, 15, Faults(loss=0.005, double=0.0))
+    begun = world.network.now
+    world.run(30.0)
+    world.stop("proxy-7")
+    world.run(5.0)
+    world.resume("proxy-7")
+    world.run(85.0)
+    alarms = false_alarms(world, begun, except_for="proxy-7")
+    assert alarms.deaths == 0
+    assert alarms.suspicions <= MOST_FALSE_SUSPICIONS
+
+
+def ordinary_bytes(proxies: int, seconds: float = 40.0) -> float:
+    """The most that one member sent and received a second, with one change and counts that move."""
+    world = formed(5, proxies)
+    counts = random.Random(5)
+
+    def count() -> None:
+        for host in world.hosts_in():
+            if host.startswith("proxy"):
+                world.tell(host, ConnectionCount(counts.randrange(100_000)))
+        world.network.at(world.network.now + 1.0, count)
+
+    count()
+    world.run(10.0)
+    world.publish(publisher_of(world), (("limits/proxy", b"x" * 300),))
+    return max(traffic_per_s(world, seconds).values())
+
+
+def test_bytes_of_a_member_are_within_the_budget_and_hardly_grow_with_the_fleet() -> None:
+    small, large = ordinary_bytes(15), ordinary_bytes(55)
+    assert small < BYTES_PER_S and large < BYTES_PER_S
+    assert large / small < MOST_GROWTH
+
+
+# ---- hard cases of a change -------------------------------------------------------------------------
+
+
+def publisher_in(world: World, region: str) -> str:
+    """Restarts publishers, each after its successor has taken over, until one of this region publishes."""
+    for _ in range(12):
+        publisher = publisher_of(world)
+        if world.members[publisher].place.region == region:
+            return publisher
+        world.crash(publisher)
+        within(world, TAKEOVER_WITHIN, lambda p=publisher: world.publisher() == p, "another one publishes")
+        world.start(publisher)
+        within(world, TAKEOVER_WITHIN, lambda: world.disagreement() or publishes(world), "all agree again")
+    raise Broken(f"nobody in {region} ever publishes")
+
+
+def taken_over(world: World, dead: str) -> int:
+    """Waits for the next publisher and gives it a change; its token."""
+    within(world, TAKEOVER_WITHIN, lambda: world.publisher() == dead, "another one publishes")
+    token = publish_until_told(world, publisher_of(world))
+    change_in_force(world, token)
+    return token
+
+
+def has_token(world: World, token: int) -> bool:
+    newest = max(world.judge.versions)
+    return token in world.judge.versions[newest].tokens
+
+
+@pytest.mark.parametrize("sent", [1, 4])
+def test_publisher_dies_between_propose_and_commit(sent: int) -> None:
+    world = formed(11, 12, Faults(loss=0.0, double=0.0))
+    publisher = publisher_of(world)
+    world.die_at(publisher, transmits(Propose, sent - 1), after=True)
+    token = world.publish(publisher)
+    world.run(1.0)
+    assert publisher not in world.processes
+    taken_over(world, publisher)
+    if sent == 4:  # all others accepted it: whoever takes over finds it
+        assert has_token(world, token)
+    world.start(publisher)
+    within(world, TAKEOVER_WITHIN, world.disagreement, "all agree")
+
+
+@pytest.mark.parametrize("after", [False, True])
+def test_publisher_dies_between_commit_and_announcement(after: bool) -> None:
+    world = formed(12, 12, Faults(loss=0.0, double=0.0))
+    publisher = publisher_of(world)
+    world.die_at(publisher, lambda action: isinstance(action, Published | Applied), after)
+    token = world.publish(publisher)
+    world.run(1.0)
+    assert publisher not in world.processes
+    taken_over(world, publisher)
+    assert has_token(world, token)  # a majority has accepted it
+    world.start(publisher)
+    within(world, TAKEOVER_WITHIN, world.disagreement, "all agree")
+
+
+def test_region_cut_with_conflicting_changes_and_the_publisher_on_the_larger_side() -> None:
+    world = formed(13, 12)
+    publisher = publisher_in(world, "north")
+    world.partition(world.hosts_in(region="south"))
+    north, south = world.publish(publisher), world.publish("control-3")
+    world.run(10.0)
+    assert north in world.judge.published
+    assert world.judge.failed[south] is PublishError.NO_MAJORITY
+    world.heal()
+    within(world, AGREED_WITHIN, lambda: world.disagreement() or publishes(world), "all agree")
+    assert has_token(world, north) and not has_token(world, south)
+
+
+@pytest.mark.parametrize("seed", range(14, 17))
+def test_region_cut_with_conflicting_changes_and_the_publisher_on_the_smaller_side(seed: int) -> None:
+    world = formed(seed, 12, Faults(loss=0.0, double=0.01))
+    old = publisher_in(world, "south")
+    world.partition(world.hosts_in(region="south"))
+    lost = world.publish(old)  # its neighbour accepts it, no majority does
+    world.run(TAKEOVER_WITHIN)
+    assert world.judge.failed[lost] is PublishError.NO_MAJORITY
+    new = publish_until_told(world, next(v.name for v in world.voters if v.name == north_publisher(world)))
+    world.heal()
+    within(world, AGREED_WITHIN, lambda: world.disagreement() or publishes(world), "all agree")
+    assert has_token(world, new) and not has_token(world, lost)
+
+
+def north_publisher(world: World) -> str:
+    newest = max(world.processes[h].node.dissemination.heartbeat for h in world.hosts_in(region="north"))
+    return world.voters[newest.epoch % len(world.voters)].name
+
+
+@pytest.mark.parametrize("kind", ["proxy", "publisher"])
+def test_a_process_stopped_for_60_s_resumes_with_old_state(kind: str) -> None:
+    world = formed(18, 12)
+    host = "proxy-5" if kind == "proxy" else publisher_of(world)
+    world.stop(host)
+    world.run(25.0)
+    publish_until_told(world, north_publisher(world))
+    world.run(35.0)
+    stopped_until = world.network.now
+    world.resume(host)
+    within(world, AGREED_WITHIN, lambda: world.disagreement() or publishes(world), "all agree")
+    assert not [
+        e
+        for e in world.judge.member_events
+        if e.at >= stopped_until and e.observer == host and e.change.status is Status.DEAD
+    ]
+    change_in_force(world, publish_until_told(world, publisher_of(world)))
+
+
+def test_a_whole_zone_restarts_at_once() -> None:
+    world = formed(19, 25)
+    zone = world.hosts_in(zone="n2")
+    for host in zone:
+        world.crash(host)
+    world.run(2.0)
+    for host in zone:
+        world.start(host)
+    within(world, TAKEOVER_WITHIN, lambda: world.disagreement() or publishes(world), "all agree")
+    change_in_force(world, publish_until_told(world, publisher_of(world)))
+
+
+@pytest.mark.parametrize("region", ["north", "south"])
+def test_a_burst_of_50_changes_while_a_control_member_is_lost(region: str) -> None:
+    world = formed(20, 15)
+    publisher = publisher_in(world, region)
+    lost = next(v.name for v in world.voters if v.name != publisher)
+    tokens = []
+    for i in range(50):
+        tokens.append(publish_until_told(world, publisher, ((f"burst/{i}", b"v" * 60),)))
+        if i == 20:
+            world.crash(lost)
+    change_in_force(world, tokens[-1])
+
+
+def test_50_changes_given_at_once_are_published_or_refused_and_end_everywhere() -> None:
+    world = formed(21, 15)
+    publisher = publisher_of(world)
+    tokens = [world.publish(publisher, ((f"burst/{i}", b"v" * 60),)) for i in range(50)]
+    world.run(6.0)
+    judge = world.judge
+    assert all(t in judge.published or t in judge.failed for t in tokens)
+    assert {judge.failed[t] for t in tokens if t in judge.failed} <= {PublishError.BUSY}
+    assert any(t in judge.published for t in tokens)
+    within(world, CHANGE_WITHIN, world.disagreement, "all agree")
+
+
+# ---- hard cases of members --------------------------------------------------------------------------
+
+
+def test_an_address_is_used_again_by_another_member() -> None:
+    world = formed(22, 12)
+    old = world.members["proxy-4"]
+    world.crash("proxy-4")
+    world.members.pop("proxy-4")
+    world.add("successor", Member("successor", old.place, old.address, old.role))
+    world.start("successor")
+    within(world, 20.0, lambda: world.disagreement() or publishes(world), "all agree")
+    change_in_force(world, publish_until_told(world, publisher_of(world)))
+
+
+def test_a_late_joiner_gets_a_large_configuration_paced_and_then_the_changes_behind_it() -> None:
+    world = formed(23, 10)
+    publisher = publisher_of(world)
+    for i in range(75):
+        publish_until_told(world, publisher, ((f"large/{i}", bytes([i]) * 800),))
+    within(world, CHANGE_WITHIN, world.disagreement, "all agree")
+    world.add("late", Member("late", world.members["proxy-1"].place, ("10.9.0.1", PORT), Role.PROXY))
+    world.start("late")
+    begun = world.network.now
+    most = 0.0
+    for second in range(20):
+        most = max(most, traffic_per_s(world, 1.0)["late"])
+        if second in (2, 5):
+            world.publish(publisher)
+        if not world.disagreement() and second > 5:
+            break
+    assert not world.disagreement()
+    assert most < BYTES_PER_S
+    assert 4.0 < world.network.now - begun < 20.0  # paced, and done
+    assert world.processes["late"].freshness is Freshness.CURRENT
+
+
+def test_datagrams_doubled_reordered_cut_short_and_changed_do_no_harm() -> None:
+    faults = Faults(delay=(0.0, 0.5), loss=0.02, double=0.3, truncate=0.03, flip=0.03)
+    world = formed(24, 12, faults)
+    for _ in range(10):
+        world.publish(publisher_of(world))
+        world.run(2.0)
+    assert any(p.node.dropped["authentication"] for p in world.processes.values())
+    faults.delay, faults.truncate, faults.flip, faults.loss = (0.03, 0.06), 0.0, 0.0, 0.01
+    within(world, AGREED_WITHIN, lambda: world.disagreement() or publishes(world), "all agree")
+
+
+def test_strangers_with_another_key_or_version_are_counted_and_stay_strangers() -> None:
+    world = formed(25, 10)
+    world.add("stranger", Member("stranger", world.members["proxy-1"].place, ("10.9.0.2", PORT), Role.PROXY))
+    world.start("stranger", key=b"another key")
+    good = Codec(KEY).encode(Header(member_id("proxy-1"), 1, 1), Gossip())
+    for place in range(4):
+        other = bytearray(good)
+        other[place] += 1
+        world.network.inject("proxy-0", ("192.0.2.7", 9), bytes(other))
+    world.run(15.0)
+    world.crash("stranger")
+    world.members.pop("stranger")
+    assert not world.disagreement()
+    dropped = world.processes["proxy-0"].node.dropped
+    assert dropped["version"] + dropped["form"] + dropped["authentication"] >= 4
+
+
+def test_a_monotonic_clock_that_jumps_by_hours_at_a_restart() -> None:
+    world = formed(26, 12)
+    for host, jump in (("proxy-3", 5 * HOUR), (publisher_of(world), -3 * HOUR), ("control-3", 9 * HOUR)):
+        clock = world.network.fleet[host].offset
+        world.restart(host, clock_offset=clock + jump)
+        within(world, 20.0, lambda: world.disagreement() or publishes(world), "all agree")
+    change_in_force(world, publish_until_told(world, publisher_of(world)))
+
+
+def test_two_live_processes_of_one_name_end_in_one() -> None:
+    world = formed(27, 12)
+    twin = world.members["proxy-2"]
+    world.add("twin", Member("proxy-2", twin.place, ("10.9.0.3", PORT), twin.role))
+    world.start("twin")
+    busiest = max(traffic_per_s(world, 20.0).values())
+    assert busiest < BYTES_PER_S
+    change_in_force(world, publish_until_told(world, publisher_of(world)))
+    world.crash("twin")
+    world.members.pop("twin")
+    within(world, 20.0, lambda: world.disagreement() or publishes(world), "all agree")
+
+
+# ---- bounds -----------------------------------------------------------------------------------------
+
+FLOOD = 3_000  # datagrams of each kind
+MOST_ELEMENTS = 120_000  # in all containers of a node: 4,096 members with what is kept of each, logs, queues
+STRANGER = Header(member_id("stranger"), 1, 77)
+
+
+def records(i: int) -> MemberRecord:
+    return MemberRecord(
+        f"forged-{i}", (f"10.77.{i // 250}.{i % 250}", 1), "north", f"z{i % 50}", Role.PROXY, 0, i
+    )
+
+
+def junk(i: int) -> bytes:
+    return random.Random(i).randbytes(i % 1_400)
+
+
+def forged(message: Callable[[int], Any], header: Callable[[int], Header] = lambda _: STRANGER) -> Any:
+    codec = Codec(KEY)
+    return lambda i: codec.encode(header(i), message(i))
+
+
+FLOODS = {
+    "junk": junk,
+    "members": forged(lambda i: Gossip(tuple(records(10 * i + j) for j in range(10)))),
+    "tables": forged(lambda i: SyncReply(tuple(records(10 * i + j) for j in range(10)), True)),
+    "sums": forged(lambda i: Gossip((ZoneSum(f"zone-{i}", 1, 1, 1),))),
+    "tallies": forged(lambda i: Tally("n1", 1, 1), lambda i: Header(i + 1, 1, 1)),
+    "epochs": forged(lambda i: Prepare(i), lambda i: Header(member_id("control-1"), 1, i)),
+    "positions": forged(
+        lambda i: Gossip(), lambda i: Header(STRANGER.sender, 1, 1, Position(0, i), Heartbeat(0, i))
+    ),
+    "snapshots": forged(lambda i: SnapshotPart(Position(0, 64 * i), 200_000, i, 0, b"x" * 500)),
+}
+
+
+@pytest.mark.parametrize("kind", FLOODS)
+def test_a_flood_raises_nothing_and_tables_stay_within_their_bounds(kind: str) -> None:
+    world = formed(28, 5)
+    for i in range(FLOOD):
+        world.network.inject("control-2", ("192.0.2.7", 9), FLOODS[kind](i))
+        if i % 100 == 0:
+            world.run(0.05)
+    world.run(2.0)
+    assert elements(world.processes["control-2"].node) < MOST_ELEMENTS
