--- a/saltcourse/gossip/messages.py
+++ b/saltcourse/gossip/messages.py
@@ -66,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusUpdate:
-    """The status of a member whose full record the receiver has; others pass over it and synchronise later."""
+    """The status of a member whose full record the receiver has; others pass over it and sync later."""
 
     member: MemberId
     incarnation: int
@@ -103,7 +103,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PingRequest:
-    """Ping ``target`` for me, and pass its Ack on with my sequence; a Nack when it does not answer in time."""
+    """Ping ``target`` for me, and pass its Ack on with my sequence; a Nack when it gives none in time."""
 
     sequence: int
     target: MemberId
@@ -133,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """Full records in the order of their ids, of the buckets that differ. ``more``: ask again from the last."""
+    """Full records in the order of their ids, of buckets that differ. ``more``: ask again behind the last."""
 
     records: tuple[MemberRecord, ...]
     more: bool
@@ -223,21 +223,31 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """A change that a voter has accepted, and the publisher's epoch under which it did: not always
+    ``change.position.epoch``."""
+
+    epoch: int
+    change: Change
+
+
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """The sender takes nothing of an older epoch any more. ``committed`` is what it has applied; ``accepted``
-    the change behind it that it took from an earlier publisher and does not know to be committed."""
+    """The sender takes nothing of an older epoch any more. ``committed`` is what it has applied,
+    ``last_accepted`` the version up to which it has accepted changes (``committed.version``: none behind it).
+    It sends one Promise for each of those changes: what it holds is known when all of them have come."""
 
     epoch: int
     committed: Position
-    accepted: Change | None = None
-    accepted_epoch: int = 0  # under which it took it; not always ``accepted.position.epoch``
+    last_accepted: int
+    accepted: AcceptedChange | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Propose:
-    """``epoch`` is the publisher's. The change keeps the position that its first publisher gave it, also where
-    a later one proposes it again: a change that was committed before is then the same one."""
+    """``epoch`` is the publisher's. The change keeps the position that its first publisher gave it, also
+    where a later one proposes it again: a change that was committed before is then the same one."""
 
     epoch: int
     change: Change
@@ -359,8 +369,7 @@
     promised: int = 0  # the newest epoch that it has promised or published under
     committed: Position = Position()
     configuration: tuple[tuple[str, bytes], ...] = ()  # at ``committed``, in the order of the keys
-    accepted: Change | None = None
-    accepted_epoch: int = 0
+    accepted: tuple[AcceptedChange, ...] = ()  # consecutive versions right behind ``committed``
 
 
 @dataclass(frozen=True, slots=True)
@@ -427,5 +436,6 @@
 
 
 Action = (
-    Persist | Transmit | Applied | Published | PublishFailed | MemberChanged | FreshnessChanged | ZoneReachability
+    Persist | Transmit | Applied | Published | PublishFailed
+    | MemberChanged | FreshnessChanged | ZoneReachability
 )
