Gossip: a member that has told STALE no longer wakes without end

Change: the deadline is dropped when it has gone by, and a test that counts wakes of a member that hears nothing. The test fails without the change and passes with it.

--- a/saltcourse/gossip/freshness.py
+++ b/saltcourse/gossip/freshness.py
@@ -34,7 +34,9 @@
 
     def freshness(self, now: float, behind: bool) -> Freshness:
         """``STALE`` also where a higher version is known: there may be still higher ones."""
-        if self._fresh_until is None or now >= self._fresh_until:
+        if self._fresh_until is not None and now >= self._fresh_until:
+            self._fresh_until = None  # or the deadline would lie in the past from now on
+        if self._fresh_until is None:
             return Freshness.STALE
         return Freshness.BEHIND if behind else Freshness.CURRENT
 
--- a/tests/test_gossip_model.py
+++ b/tests/test_gossip_model.py
@@ -54,6 +54,7 @@
 BYTES_PER_S = 21_000
 MOST_GROWTH = 1.5  # of bytes per member from 20 to 60 members
 MOST_FALSE_SUSPICIONS = 1  # in two minutes with 1 in 200 datagrams lost and one process starved for 5 s
+MOST_WAKES_PER_S = 50  # of a member that hears nothing
 CUT_SECONDS = 120.0
 HOUR = 3_600.0
 
@@ -147,6 +148,17 @@
     assert large / small < MOST_GROWTH
 
 
+def test_a_stale_member_does_not_wake_without_end() -> None:
+    world = formed(6, 0, Faults(loss=0.0, double=0.0))
+    world.partition(["control-4"])
+    world.run(world.timing.stale_after + 2.0)
+    process = world.processes["control-4"]
+    assert process.freshness is Freshness.STALE
+    before = process.events.total()
+    world.run(10.0)
+    assert process.events.total() - before < 10 * MOST_WAKES_PER_S
+
+
 # ---- hard cases of a change -------------------------------------------------------------------------
 
 
