--- a/saltcourse/emulator/gossip/network.py
+++ b/saltcourse/emulator/gossip/network.py
@@ -77,7 +77,11 @@
         self.records[host.name] = Traffic()
 
     def connected(self, one: str, other: str) -> bool:
-        return (one, other) not in self.cuts and self.groups.get(one, 0) == self.groups.get(other, 0)
+        return (one, other) not in self.cuts and self.same_side(one, other)
+
+    def same_side(self, one: str, other: str) -> bool:
+        """Whether no partition is between them; single links may be cut none the less."""
+        return self.groups.get(one, 0) == self.groups.get(other, 0)
 
     def partition(self, groups: dict[str, int]) -> None:
         self.groups = groups
