--- a/saltcourse/emulator/gossip/world.py
+++ b/saltcourse/emulator/gossip/world.py
@@ -227,7 +227,7 @@
         return [
             v.name
             for v in self.voters
-            if self.network.connected(host, v.name) and hosts[v.name].alive and not hosts[v.name].stopped
+            if self.network.same_side(host, v.name) and hosts[v.name].alive and not hosts[v.name].stopped
         ]
 
     def running(self) -> list[str]:
