--- a/saltcourse/emulator/gossip/network.py
+++ b/saltcourse/emulator/gossip/network.py
@@ -86,10 +86,6 @@
     def partition(self, groups: dict[str, int]) -> None:
         self.groups = groups
 
-    def heal(self) -> None:
-        super().heal()
-        self.groups = {}
-
     def transmit(self, sender: FleetHost, destination: Address, datagram: bytes) -> None:
         size = len(datagram) + PACKET_OVERHEAD_BYTES
         self.records[sender.name].sent += size
