--- a/saltcourse/emulator/gossip/__main__.py
+++ b/saltcourse/emulator/gossip/__main__.py
@@ -7,14 +7,14 @@
 import time
 import traceback
 
-from saltcourse.emulator.gossip.schedule import play
+from saltcourse.emulator.gossip.schedule import FAULT_SECONDS, play
 
 
 def main(arguments: list[str] | None = None) -> int:
     """The number of seeds whose schedule broke a property, 1 at most."""
     parser = argparse.ArgumentParser(prog="python -m saltcourse.emulator.gossip", description=__doc__)
     parser.add_argument("--seeds", default="0-29", help="first and last, for example 100-200; or one seed")
-    parser.add_argument("--seconds", type=float, default=40.0, help="of virtual time with faults")
+    parser.add_argument("--seconds", type=float, default=FAULT_SECONDS, help="of virtual time with faults")
     wanted = parser.parse_args(arguments)
     first, _, last = wanted.seeds.partition("-")
     failed = 0
--- a/saltcourse/emulator/gossip/network.py
+++ b/saltcourse/emulator/gossip/network.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +15,8 @@
 from saltcourse.gossip.messages import PACKET_OVERHEAD_BYTES, Address, Received, Tick
 
 SOCKET_DATAGRAMS = 256  # that wait for a stopped process; later ones are lost
+REMEMBERED = 300  # datagrams
+REMEMBERED_BYTES = 130  # the least of one with a change in it
 SAME_ZONE = (0.0002, 0.002)  # s one way
 SAME_REGION = (0.0005, 0.005)
 OTHER_REGION = (0.030, 0.060)
@@ -70,6 +73,7 @@
         self.listeners: dict[Address, str] = {}  # which host has an address now
         self.groups: dict[str, int] = {}  # a partition: hosts of different groups are cut from each other
         self.records: dict[str, Traffic] = {}  # by host
+        self.remembered: deque[Received] = deque(maxlen=REMEMBERED)  # that arrived, to be replayed
 
     def add(self, host: FleetHost) -> None:
         self.hosts[host.name] = self.fleet[host.name] = host
@@ -130,7 +134,10 @@
             return
         self.records[receiver].received += len(datagram) + PACKET_OVERHEAD_BYTES
         self.arrived[sender, receiver] = self.now
-        self.give(host, Received(source, datagram))
+        event = Received(source, datagram)
+        if len(datagram) >= REMEMBERED_BYTES:
+            self.remembered.append(event)
+        self.give(host, event)
 
     def inject(self, receiver: str, source: Address, datagram: bytes) -> None:
         """A datagram from outside the fleet arrives now."""
--- a/saltcourse/emulator/gossip/schedule.py
+++ b/saltcourse/emulator/gossip/schedule.py
@@ -15,10 +15,12 @@
 FORMED_WITHIN = 20.0  # s from the start of all to a publisher that everybody hears
 SETTLED_WITHIN = 30.0  # s from the last fault to agreement; a takeover may have to come first
 CHANGE_WITHIN = 5.0  # s from an operator's wish to its being in force everywhere
-FEWEST_PROXIES, MOST_PROXIES = 7, 15
+PROXIES = (7, 15)  # fewest and most, drawn by each schedule
+FAULT_SECONDS = 40.0
 MOST_STOPPED = 8.0  # s for which a process stands still
 STEPS = (0.1, 0.5, 1.5, 4.0)  # s between faults
 JUNK_BYTES = 1_300
+REPLAYED = 60  # datagrams at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +34,14 @@
     last_change_s: float
 
 
-def play(seed: int, node_class: NodeClass = Node, seconds: float = 40.0) -> Verdict:
+def play(
+    seed: int,
+    node_class: NodeClass = Node,
+    seconds: float = FAULT_SECONDS,
+    proxies: tuple[int, int] = PROXIES,
+) -> Verdict:
     """One random schedule; ``Broken`` when a property does not hold."""
-    schedule = Schedule(seed, node_class)
+    schedule = Schedule(seed, node_class, proxies)
     schedule.form()
     schedule.disturb(seconds)
     settled = schedule.settle()
@@ -46,7 +53,7 @@
 class Schedule:
     """A world and the draws of its faults."""
 
-    def __init__(self, seed: int, node_class: NodeClass) -> None:
+    def __init__(self, seed: int, node_class: NodeClass, proxies: tuple[int, int] = PROXIES) -> None:
         self.draw = random.Random(seed)
         draw = self.draw
         faults = Faults(
@@ -55,7 +62,7 @@
             truncate=draw.choice((0.0, 0.01)),
             flip=draw.choice((0.0, 0.01)),
         )
-        self.world = World(seed, draw.randint(FEWEST_PROXIES, MOST_PROXIES), faults, node_class=node_class)
+        self.world = World(seed, draw.randint(*proxies), faults, node_class=node_class)
         self.faults: tuple[Callable[[], None], ...] = (
             self._crash_or_start,
             self._crash_or_start,
@@ -73,6 +80,8 @@
             self._burst,
             self._die_at_some_action,
             self._junk,
+            self._replay,
+            self._replay,
             self._restart_zone,
         )
 
@@ -204,6 +213,14 @@
             datagram = self.draw.randbytes(self.draw.randrange(JUNK_BYTES))
             self.world.network.inject(host, ("192.0.2.1", 9), datagram)
 
+    def _replay(self) -> None:
+        """Old datagrams come again, also at members that they were not for."""
+        remembered = list(self.world.network.remembered)
+        for event in self.draw.sample(remembered, min(REPLAYED, len(remembered))):
+            self.world.network.inject(
+                self.draw.choice(list(self.world.members)), event.source, event.datagram
+            )
+
 
 def nth(kind: type, skip: int) -> Callable[[Action], bool]:
     """Matches an action of this kind behind so many others of it."""
