--- a/saltcourse/emulator/gossip/judge.py
+++ b/saltcourse/emulator/gossip/judge.py
@@ -139,6 +139,10 @@
     def told_failed(self, action: PublishFailed) -> None:
         self.failed[action.token] = action.error
 
+    def is_answered(self, token: int) -> bool:
+        """Whether an operator knows what became of a change."""
+        return token in self.published or token in self.failed
+
     def told_member(self, process: Process, action: MemberChanged) -> None:
         process.held[action.name] = action.status
         self.member_events.append(MemberEvent(self.now, process.host, action))
