Emulator: the last change of a schedule waits until earlier ones had their time

Cause: schedule 10 of the tests broke: its last change was given to the publisher in the very instant in which another voter, asked before the calm began, took over; a duel is allowed while both have work, and the change was told as NO_MAJORITY. Change: what was asked before is given its publish_timeout first.

--- a/saltcourse/emulator/gossip/schedule.py
+++ b/saltcourse/emulator/gossip/schedule.py
@@ -124,8 +124,10 @@
         return self.world.disagreement()
 
     def publish_one_more(self) -> float:
-        """A change in the calm; the seconds until all have it."""
+        """A change in the calm; the seconds until all have it. Changes given to other voters while
+        there were faults may still move the publisher, until their time is up."""
         world = self.world
+        world.run(world.timing.publish_timeout)
         publisher = world.publisher()
         if publisher is None:
             raise Broken("nobody publishes")
