--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -49,8 +49,8 @@
     Scenario,
     StopResume,
     ZoneOutage,
-    read_scenario,
 )
+from saltcourse.emulator.scale.scenario_file import read_scenario
 from saltcourse.emulator.scale.sockets import Paths
 from saltcourse.emulator.scale.summary import growth_exponent, percentile, window_means
 from saltcourse.emulator.scale.timeline import Act, Duty, PhaseSpan, Publication, Timeline, build_timeline
@@ -99,7 +99,7 @@
 # ---- the scenario file ------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("name", ["ordinary", "quick"])
+@pytest.mark.parametrize("name", ["ordinary", "quick", "faults"])
 def test_the_kept_scenarios_are_read(name: str) -> None:
     scenario = read_scenario(SCENARIOS / f"{name}.txtpb")
     assert (scenario.control_members, scenario.voters) == (8, 5)
