Scale run: late joiners, staleness on the smaller side of a cut, a configuration of its size

Change: the scenario fills the configuration before its first phase; records of freshness; both measures in the report, each with a test that a missing record is caught.

--- a/saltcourse/emulator/scale/gossip.py
+++ b/saltcourse/emulator/scale/gossip.py
@@ -12,6 +12,7 @@
 from saltcourse.emulator.scale.connections import ConnectionLives
 from saltcourse.emulator.scale.hollow import (
     ConfigurationObserved,
+    FreshnessObserved,
     HollowMember,
     MembersView,
     Output,
@@ -28,6 +29,8 @@
     Applied,
     ConnectionCount,
     Event,
+    Freshness,
+    FreshnessChanged,
     MemberChanged,
     MemberRecord,
     Persist,
@@ -49,6 +52,7 @@
 COUNT_INTERVAL = 1.0  # s between the connection counts that a proxy tells, as its host does
 LEFT_KEY = "scale/{}/left"
 RIGHT_KEY = "scale/{}/right"
+PADDING_KEY = "scale/{}/padding"
 CHANGE_KEY = re.compile(r"scale/(\d+)/(?:left|right)")
 DIGEST_BYTES = 7  # of a configuration: it stays a whole number in JSON
 
@@ -78,8 +82,8 @@
             return self._handle(now, ConnectionCount(len(self._lives)))
         return self._handle(now, Tick())
 
-    def publish(self, now: float, change: int) -> Output:
-        return self._handle(now, Publish(change, change_writes(change)))
+    def publish(self, now: float, change: int, padding: int) -> Output:
+        return self._handle(now, Publish(change, change_writes(change, padding)))
 
     def is_publisher(self) -> bool:
         return self._node.quorum is not None and self._node.quorum.phase is Phase.PUBLISHING
@@ -122,6 +126,8 @@
                     applied.append(action)
                 case MemberChanged(name, _, status):
                     output.observations.append(StatusObserved(name, status))
+                case FreshnessChanged(freshness):
+                    output.observations.append(FreshnessObserved(freshness is Freshness.STALE))
                 case Published(token, position):
                     output.observations.append(PublicationConfirmed(token, position.epoch, position.version))
                 case PublishFailed(token, error):
@@ -147,9 +153,12 @@
     return MemberRecord(place.name, address, place.region, place.zone, place.role, 0, process)
 
 
-def change_writes(change: int) -> tuple[Write, ...]:
+def change_writes(change: int, padding: int = 0) -> tuple[Write, ...]:
     value = str(change).encode()
-    return (LEFT_KEY.format(change), value), (RIGHT_KEY.format(change), value)
+    writes: tuple[Write, ...] = (LEFT_KEY.format(change), value), (RIGHT_KEY.format(change), value)
+    if padding:
+        writes += ((PADDING_KEY.format(change), bytes(padding)),)
+    return writes
 
 
 def observe_applied(
--- a/saltcourse/emulator/scale/hollow.py
+++ b/saltcourse/emulator/scale/hollow.py
@@ -48,6 +48,11 @@
     status: Status
 
 
+@dataclass(frozen=True, slots=True)
+class FreshnessObserved:
+    stale: bool  # it knows that it may lack news
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationObserved:
     epoch: int
@@ -70,7 +75,9 @@
     reason: str
 
 
-Observation = StatusObserved | ConfigurationObserved | PublicationConfirmed | PublicationFailed
+Observation = (
+    StatusObserved | FreshnessObserved | ConfigurationObserved | PublicationConfirmed | PublicationFailed
+)
 
 
 @dataclass(slots=True)
@@ -100,9 +107,9 @@
     def tick(self, now: float) -> Output: ...
 
     @abstractmethod
-    def publish(self, now: float, change: int) -> Output:
-        """The operator hands over its change of this number. It is answered with PublicationConfirmed or
-        PublicationFailed, at once or later."""
+    def publish(self, now: float, change: int, padding: int) -> Output:
+        """The operator hands over its change of this number, with ``padding`` bytes more. It is answered with
+        PublicationConfirmed or PublicationFailed, at once or later."""
 
     @abstractmethod
     def is_publisher(self) -> bool: ...
--- a/saltcourse/emulator/scale/measures.py
+++ b/saltcourse/emulator/scale/measures.py
@@ -13,6 +13,7 @@
     DEAD_OR_LEFT,
     ConfigurationSeen,
     Confirmed,
+    FreshnessSeen,
     Handed,
     Lifecycle,
     Load,
@@ -31,6 +32,9 @@
 WINDOW = 10  # s over which bytes and CPU are averaged
 CHANGE_PATIENCE = 10.0  # s in which a member that does not get a change has to stay undisturbed to count
 FAILURE_PATIENCE = 60.0  # s that a member may take to hold a killed one for dead
+JOIN_PATIENCE = 20.0  # s that a new process may take to the newest configuration
+JUST_AFTER = 0.001  # s after a start
+STALE_PATIENCE = 20.0  # s of a cut in which those on the smaller side have to say that they may lack news
 LEAST_DOWN = 10.0  # s that a killed member has to stay away, for its failure to be worth knowing
 ZONE_CHECK = 1.0  # s after a kill at which its whole zone is looked at
 GRACE = 30.0  # s after a disturbance in which a suspicion is no false one
@@ -111,6 +115,8 @@
     changes_lost: int  # handed over, in force nowhere and not confirmed
     failure: Propagation
     failure_everywhere: Spread | None  # s until the last member knew, over the failures that all came to know
+    joining: Propagation  # from a restart to what was the newest version then
+    staleness: Propagation  # from the begin of a cut until those on the smaller side say so
     false_suspicions: int
     false_deaths: int
     cuts: tuple[CutAgreement, ...]
@@ -157,7 +163,8 @@
         usage = self._of(WorkerUsage)
         proxies = list(self._topology.proxies)
         control = [place for place in self._topology.places if place.role is Role.CONTROL]
-        counted = [change for change, handed in self._handed.items() if handed.duty != Duty.CONFLICT.value]
+        timed = (Duty.CHANGE.value, Duty.LOSE_PUBLISHER.value)
+        counted = [change for change, handed in self._handed.items() if handed.duty in timed]
         confirmed = {record.change for record in self._of(Confirmed)}
         failures, everywhere = self._failures()
         suspicions, deaths = self._false_statuses()
@@ -175,6 +182,8 @@
             changes_lost=sum(c not in confirmed and c not in self._applied for c in counted),
             failure=failures,
             failure_everywhere=everywhere,
+            joining=self._joining(),
+            staleness=self._staleness(),
             false_suspicions=suspicions,
             false_deaths=deaths,
             cuts=tuple(self._agreement(cut) for cut in self._history.cuts if cut.end < math.inf),
@@ -299,6 +308,61 @@
             for span in self._timeline.spans
         }
 
+    # ---- late joiners, and those who lack news ------------------------------------------------------
+
+    def _joining(self) -> Propagation:
+        seconds: list[float] = []
+        missing = events = 0
+        newest_at = Steps()
+        by_member: dict[int, list[ConfigurationSeen]] = {}
+        highest = 0
+        for record in self._of(ConfigurationSeen):
+            by_member.setdefault(record.member, []).append(record)
+            if record.version > highest:
+                highest = record.version
+                newest_at.add(record.at, (record.epoch, highest))
+        for outage in self._history.outages:
+            started = outage.interval.end
+            if started + JOIN_PATIENCE > self._end:
+                continue
+            _, newest = newest_at.at(started) or (0, 0)
+            own = by_member.get(outage.member, [])
+            joined_at = next((r.at for r in own if r.at > started and r.version >= newest), None)
+            until = started + JOIN_PATIENCE if joined_at is None else joined_at
+            if newest == 0 or not self._within_reach(outage.member, started + JUST_AFTER, until):
+                continue
+            events += 1
+            if joined_at is None:
+                missing += 1
+            else:
+                seconds.append(joined_at - started)
+        return Propagation(spread(seconds), missing, events)
+
+    def _staleness(self) -> Propagation:
+        """Of cuts that last longer than STALE_PATIENCE."""
+        seconds: list[float] = []
+        missing = events = 0
+        for cut in self._history.cuts:
+            until = min(cut.end, cut.begin + STALE_PATIENCE)
+            if until < cut.begin + STALE_PATIENCE:
+                continue
+            events += 1
+            for place in self._topology.places:
+                if not self._history.cut_off(place.index, cut.begin, until) or place in self._topology.real:
+                    continue
+                if not self._history.present(place.index, cut.begin, until):
+                    continue
+                told = [
+                    record.at
+                    for record in self._of(FreshnessSeen)
+                    if record.member == place.index and record.stale and cut.begin <= record.at <= until
+                ]
+                if told:
+                    seconds.append(told[0] - cut.begin)
+                else:
+                    missing += 1
+        return Propagation(spread(seconds), missing, events)
+
     # ---- failures ------------------------------------------------------------------------------------
 
     def _failures(self) -> tuple[Propagation, Spread | None]:
--- a/saltcourse/emulator/scale/mesh.py
+++ b/saltcourse/emulator/scale/mesh.py
@@ -81,7 +81,7 @@
         self.next_deadline = now + TICK
         return self._output(self._measured(self._fleet.handle, now, Tick()))
 
-    def publish(self, now: float, change: int) -> Output:
+    def publish(self, now: float, change: int, padding: int) -> Output:
         self._measured(self._fleet.hold, CHANGES_SERVER, str(change), True)
         self._changes_seen = change + 1
         output = self.tick(now)
--- a/saltcourse/emulator/scale/operator.py
+++ b/saltcourse/emulator/scale/operator.py
@@ -91,7 +91,7 @@
         if publication.duty is Duty.LOSE_PUBLISHER:
             self._send(Publish(pending.change, voter, publication.kill_after, publication.restart_after))
         else:
-            self._send(Publish(pending.change, voter))
+            self._send(Publish(pending.change, voter, padding=publication.padding))
 
     def _failed(self, now: float, pending: _Pending, reason: str) -> None:
         self._record(NotConfirmed(now, pending.change, self._voters[pending.voter], reason))
--- a/saltcourse/emulator/scale/orders.py
+++ b/saltcourse/emulator/scale/orders.py
@@ -61,6 +61,7 @@
     member: int
     kill_after: float | None = None
     restart_after: float = 0.0
+    padding: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/saltcourse/emulator/scale/records.py
+++ b/saltcourse/emulator/scale/records.py
@@ -55,6 +55,15 @@
     status: int
 
 
+@dataclass(frozen=True, slots=True)
+class FreshnessSeen:
+    """From now on the member says that it may lack news, or no longer."""
+
+    at: float
+    member: int
+    stale: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationSeen:
     """The configuration in force at ``member``. ``digest`` is of all of it. ``changes`` are the numbers of
@@ -126,6 +135,7 @@
     | Load
     | View
     | StatusSeen
+    | FreshnessSeen
     | ConfigurationSeen
     | Handed
     | Confirmed
--- a/saltcourse/emulator/scale/report.py
+++ b/saltcourse/emulator/scale/report.py
@@ -79,6 +79,12 @@
     yield "failure_known_everywhere_s_max", _part(figures.failure_everywhere, "max")
     yield "failures", figures.failure.events
     yield "failures_missing", figures.failure.missing
+    yield "join_s_p50", _part(figures.joining.seconds, "p50")
+    yield "join_s_max", _part(figures.joining.seconds, "max")
+    yield "joins", figures.joining.events
+    yield "joins_missing", figures.joining.missing
+    yield "stale_known_s_max", _part(figures.staleness.seconds, "max")
+    yield "stale_missing", figures.staleness.missing
     yield "false_suspicions", figures.false_suspicions
     yield "false_deaths", figures.false_deaths
     yield "after_cut_agree_s_max", worst_cut(figures.cuts)
--- a/saltcourse/emulator/scale/scenario.py
+++ b/saltcourse/emulator/scale/scenario.py
@@ -118,6 +118,7 @@
     settle: float
     phases: tuple[Phase, ...]
     sizes_at_once: bool
+    configuration_bytes: int  # published before the first phase
 
     @property
     def seconds(self) -> float:
--- a/saltcourse/emulator/scale/scenario_file.py
+++ b/saltcourse/emulator/scale/scenario_file.py
@@ -41,6 +41,7 @@
 MOST_DELAY_MS = 1_000.0
 MOST_CONTROL_MEMBERS = 64
 MOST_BURST = 1_000
+MOST_CONFIGURATION_BYTES = 200_000  # with the changes of a run below the gossip's own bound
 PHASE_NAME = re.compile(r"[a-z][a-z0-9_]{0,30}")
 
 
@@ -103,6 +104,7 @@
             settle=self._number(file, "settle_s", 0, MOST_SECONDS),
             phases=self._phases(),
             sizes_at_once=file.sizes_at_once,
+            configuration_bytes=self._count(file, "configuration_bytes", 0, MOST_CONFIGURATION_BYTES),
         )
 
     def _sizes(self) -> tuple[int, ...]:
--- a/saltcourse/emulator/scale/timeline.py
+++ b/saltcourse/emulator/scale/timeline.py
@@ -11,6 +11,8 @@
 from saltcourse.emulator.scale.topology import Place, Topology
 from saltcourse.gossip.messages import Role
 
+FILL_BYTES = 800  # of one change that fills the configuration; it fits a datagram with its keys
+
 
 class Act(Enum):
     """What a worker does to its members."""
@@ -36,6 +38,7 @@
     """What the operator does with the configuration."""
 
     CHANGE = "change"
+    FILL = "fill"  # a large one before the first phase; not timed
     CONFLICT = "conflict"  # handed to a voter of the smaller side of a cut, and not tried again
     LOSE_PUBLISHER = "lose_publisher"
 
@@ -48,6 +51,7 @@
     duty: Duty
     kill_after: float = 0.0
     restart_after: float = 0.0
+    padding: int = 0  # bytes of a value beside the change's own
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +90,7 @@
 
     def build(self) -> Timeline:
         self._start_all()
+        self._fill()
         spans = []
         begin = self._scenario.settle
         for phase in self._scenario.phases:
@@ -109,6 +114,14 @@
         for number, index in enumerate(proxies):
             self._command(self._scenario.start_over * number / len(proxies), Act.START, [index])
 
+    def _fill(self) -> None:
+        """The middle half of the settling time brings the configuration to its size."""
+        count = self._scenario.configuration_bytes // FILL_BYTES
+        settle = self._scenario.settle
+        for number in range(count):
+            at = settle * (0.25 + 0.5 * number / count)
+            self._publications.append(Publication(at, Duty.FILL, padding=FILL_BYTES))
+
     def _changes(self, phase: Phase, begin: float) -> None:
         if phase.changes_per_s <= 0:
             return
--- a/saltcourse/emulator/scale/worker.py
+++ b/saltcourse/emulator/scale/worker.py
@@ -20,6 +20,7 @@
 
 from saltcourse.emulator.scale.hollow import (
     ConfigurationObserved,
+    FreshnessObserved,
     HollowMember,
     MembersView,
     Observation,
@@ -46,6 +47,7 @@
 )
 from saltcourse.emulator.scale.records import (
     ConfigurationSeen,
+    FreshnessSeen,
     Lifecycle,
     Load,
     RecordWriter,
@@ -344,7 +346,7 @@
                 return
             self._schedule_loss(hosted, order.kill_after, order.restart_after)
         hosted.publishing.add(order.change)
-        self._carry(hosted, hosted.core.publish(time.monotonic(), order.change))
+        self._carry(hosted, hosted.core.publish(time.monotonic(), order.change, order.padding))
 
     def _schedule_loss(self, hosted: HostedMember, kill_after: float, restart_after: float) -> None:
         killed_at = time.monotonic() + kill_after
@@ -362,6 +364,8 @@
         match observation:
             case StatusObserved():
                 self._observe_status(hosted, observation)
+            case FreshnessObserved(stale):
+                self._records.write(FreshnessSeen(self._now(), index, stale))
             case ConfigurationObserved():
                 self._records.write(
                     ConfigurationSeen(
--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -23,6 +23,7 @@
 from saltcourse.emulator.scale.records import (
     ConfigurationSeen,
     Confirmed,
+    FreshnessSeen,
     Handed,
     Lifecycle,
     Load,
@@ -458,6 +459,34 @@
     assert figures.failure.missing == 1 and figures.failure_everywhere is None
 
 
+def test_a_new_process_has_joined_when_it_has_what_was_newest_at_its_start(topology: Topology) -> None:
+    away = [Lifecycle(22.0, 9, "kill"), Lifecycle(30.0, 9, "start")]
+    before = [Handed(20.0, 0, 0, "change"), *applied(topology, 20.0, 0)]
+    assert judged(topology, *before, *away).joining.missing == 1
+    joined = judged(topology, *before, *away, seen(33.0, 9, 1, 1)).joining
+    assert joined.seconds is not None and joined.seconds.most == pytest.approx(3.0)
+    assert (joined.events, joined.missing) == (1, 0)
+
+
+def test_those_on_the_smaller_side_of_a_cut_have_to_say_that_they_may_lack_news(topology: Topology) -> None:
+    cut = [Lifecycle(30.0, -1, "cut"), Lifecycle(60.0, -1, "heal")]
+    east = [place.index for place in topology.places if place.region == "east"]
+    told: list[Record] = [FreshnessSeen(41.0 + index / 10, index, True) for index in east]
+    found = judged(topology, *cut, *told).staleness
+    assert found.seconds is not None and found.seconds.most == pytest.approx(11.0 + max(east) / 10)
+    assert found.missing == 0
+    assert judged(topology, *cut, *told[:-1]).staleness.missing == 1
+    late = FreshnessSeen(55.0, east[-1], True)
+    assert judged(topology, *cut, *told[:-1], late).staleness.missing == 1
+
+
+def test_the_configuration_is_filled_before_the_first_phase(scenario: Scenario, topology: Topology) -> None:
+    timeline = build_timeline(replace(scenario, configuration_bytes=4_000), topology, 1)
+    fill = [p for p in timeline.publications if p.duty is Duty.FILL]
+    assert sum(p.padding for p in fill) == 4_000
+    assert all(0 < p.at < scenario.settle for p in fill)
+
+
 def test_a_dead_zone_is_no_heap_of_failures(topology: Topology) -> None:
     zone = [place.index for place in topology.places if place.zone == "e1"]
     figures = judged(topology, *[Lifecycle(22.0, index, "kill") for index in zone])
