--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -196,7 +196,10 @@
             folder = keep or Path(temporary)
             folder.mkdir(parents=True, exist_ok=True)
             at_once = len(scenario.sizes) if scenario.sizes_at_once else 1
-            runs = run_all(plans, at_once, Progress(only_json), folder)
+            runs = []
+            for name in mechanisms:  # never beside each other
+                chosen = [plan for plan in plans if plan.mechanism == name]
+                runs += run_all(chosen, at_once, Progress(only_json), folder)
     except KeyboardInterrupt:
         sys.exit(EXIT_INTERRUPTED)
     if not only_json and runs:
