Scale run: workers ask for orders only when there are some

Cause: each turn of a worker's loop polled the runner's pipe, which costs more than a datagram, and at 980 members the harness would have filled the machine. Change: the pipe is watched by the sockets' epoll; the start of the process is no longer counted as its CPU.

--- a/saltcourse/emulator/scale/sockets.py
+++ b/saltcourse/emulator/scale/sockets.py
@@ -66,10 +66,13 @@
 
 
 class Sockets:
-    """One UDP socket for each member, watched by one epoll."""
+    """One UDP socket for each member, watched by one epoll; so is ``control``, the pipe to the runner."""
 
-    def __init__(self, members: Iterable[int]) -> None:
+    def __init__(self, members: Iterable[int], control: int) -> None:
         self._epoll = select.epoll()
+        self._epoll.register(control, select.EPOLLIN)
+        self._control = control
+        self.control_ready = False  # something came on the pipe, or it was closed
         self._sockets: dict[int, socket.socket] = {}
         self._members: dict[int, int] = {}  # descriptor -> member
         for member in members:
@@ -93,6 +96,9 @@
 
     def receive(self, patience: float) -> Iterator[tuple[int, Address, bytes]]:
         for descriptor, _ in self._epoll.poll(patience):
+            if descriptor == self._control:
+                self.control_ready = True
+                continue
             member = self._members[descriptor]
             receive = self._sockets[member].recvfrom
             for _ in range(READS_AT_ONCE):
--- a/saltcourse/emulator/scale/worker.py
+++ b/saltcourse/emulator/scale/worker.py
@@ -105,7 +105,7 @@
         self._hosted = {index: HostedMember(task.topology.places[index]) for index in task.members}
         self._by_name = {place.name: place.index for place in task.topology.places}
         allow_sockets(len(task.members))
-        self._sockets = Sockets(task.members)
+        self._sockets = Sockets(task.members, connection.fileno())
         self._fleet = Fleet(())
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = 0
@@ -128,12 +128,13 @@
         gc.freeze()
         gc.disable()
         memory_before = resident_memory()
+        cpu_before = time.process_time()
         self._send_to_runner(Ready())
         self._begin = self._expect(Begin).at
         self._schedule_all()
         self._loop(self._begin + self._task.timeline.end)
         gc.collect()
-        self._record_usage(memory_before)
+        self._record_usage(memory_before, time.process_time() - cpu_before)
         self._records.close()
         self._sockets.close()
         self._send_to_runner(Finished())
@@ -166,7 +167,9 @@
             for member, source, datagram in self._sockets.receive(min(max(due - now, 0.0), LONGEST_WAIT)):
                 self._arrived(member, source, datagram)
             self._run_due()
-            self._take_orders()
+            if self._sockets.control_ready:
+                self._sockets.control_ready = False
+                self._take_orders()
 
     def _run_due(self) -> None:
         for _ in range(STEPS_AT_ONCE):
@@ -415,13 +418,13 @@
                 hosted.view = view
                 self._records.write(View(at, index, view.count, view.digest))
 
-    def _record_usage(self, memory_before: int) -> None:
+    def _record_usage(self, memory_before: int, cpu: float) -> None:
         self._records.write(
             WorkerUsage(
                 members=len(self._hosted),
                 memory_without_members=memory_before,
                 memory_at_end=resident_memory(),
-                cpu=time.process_time(),
+                cpu=cpu,
                 lag_p99=percentile(self._lags, 0.99) if self._lags else 0.0,
                 lag_max=self._lag_max,
                 dropped=self._sockets.dropped(),
