--- a/tests/test_gossip_operator.py
+++ b/tests/test_gossip_operator.py
@@ -67,7 +67,7 @@
     assert settings.seeds == (("10.0.0.2", 7500),)  # without its own
     assert settings.voters[2].address == ("2001:db8::3", 7500)  # as the system writes it
     assert settings.key == b"\xab" * 32 and settings.store_file == tmp_path / "c0.store"
-    assert settings.bytes_per_s == 21_000
+    assert settings.bytes_per_s == 250_000  # a control member's
     assert settings.timing == Timing(probe_interval=2.0)
     assert read_operator(write(tmp_path, "fleet {}"), "p").gossip is None
 
@@ -78,6 +78,9 @@
     settings = gossip(write(tmp_path, text), "proxy-7")
     assert settings.me == "proxy-7" and settings.role is Role.PROXY and not settings.is_voter
     assert settings.advertise == settings.listen == ("10.0.0.9", 7500)
+    assert settings.bytes_per_s == 21_000
+    text = text.replace("probe_interval_s: 2", "bytes_per_s: 5000")
+    assert gossip(write(tmp_path, text), "proxy-7").bytes_per_s == 5_000
 
 
 @pytest.mark.parametrize(
