Gossip: a burst spreads from whoever is ahead, not from its publisher alone

Change: a member announces amid a burst too and fetches on from any member that is ahead; a server over its budget answers the member furthest ahead first and drops answers that waited as long as a fetch may.

--- a/saltcourse/gossip/dissemination.py
+++ b/saltcourse/gossip/dissemination.py
@@ -186,8 +186,8 @@
         before = self.position
         for change in message.changes:
             self._apply(change)
-        if self.position != before and not self.configuration.is_ahead(header.position):
-            self._announcement_due = True  # not while the source still has more for this member
+        if self.position != before:
+            self._announcement_due = True  # also amid a burst: others may fetch from here
         return self._fetcher.continue_after(now, source)
 
     def _apply(self, change: Change) -> Outcome:
--- a/saltcourse/gossip/fetching.py
+++ b/saltcourse/gossip/fetching.py
@@ -99,16 +99,16 @@
         return avoid
 
     def continue_after(self, now: float, source: Address) -> list[Send]:
-        """Changes of ``source`` were taken: fetch again at once if there are more. Only after progress, so
-        that answers of no use can not keep up a loop."""
+        """Changes of ``source`` were taken: fetch again at once if there are more, from any member that has
+        announced some, so that a burst is not served by its publisher alone. Only after progress, so that
+        answers of no use can not keep up a loop."""
         if not self._is_answered(source):
             return []
         self._pending = None
         self.prune(now)
         if not self.behind:
             return []
-        announced = self._sources.position_of(source)
-        return self.fetch(now, source if announced is not None else None)
+        return self.fetch(now)
 
     def tick(self, now: float) -> list[Send]:
         pending = self._pending
--- a/saltcourse/gossip/node.py
+++ b/saltcourse/gossip/node.py
@@ -71,7 +71,7 @@
         self._voter_ids = frozenset(v.id for v in settings.voters)
         self._codec = Codec(settings.key)
         self._budget = TokenBucket(settings.bytes_per_s, BURST_SECONDS * settings.bytes_per_s)
-        self._waiting = SendQueue()
+        self._waiting = SendQueue(timing.fetch_timeout)
         self._actions: list[Action] = []
 
     # ---- events -----------------------------------------------------------------------------------
@@ -220,11 +220,13 @@
             if send.priority is Priority.PROBE:
                 self._budget.force(now, self._transmit(send))
             else:
-                self._waiting.push(send)
+                self._waiting.push(now, send)
 
     def _send_waiting(self, now: float) -> None:
         while self._waiting and self._budget.available(now) > 0:
-            self._budget.force(now, self._transmit(self._waiting.pop()))
+            send = self._waiting.pop(now)
+            if send is not None:
+                self._budget.force(now, self._transmit(send))
 
     def _transmit(self, send: Send) -> int:
         """Bytes that it takes from the budget. The header tells what holds now, not when it was queued."""
