Gossip: a few crashes in a small zone are not taken for a silent zone

Change: besides the fraction, two other members of the zone, or all that are left, have to leave a Ping unanswered; a change of zone starts the timer anew; random choices have a module of their own.

--- a/saltcourse/gossip/member_table.py
+++ b/saltcourse/gossip/member_table.py
@@ -1,8 +1,8 @@
 """The member table: what this member believes of every other, with the indexes that keep each look-up cheap.
 
-Cost that grows with the fleet: about 1 kB for each member known, departed ones included; MAX_MEMBERS bounds
-it at 4 MB. A change costs O(members / SYNC_BUCKETS) at most (an insertion into a sorted list). ``live`` is
-cached and costs O(members log members) when it is asked after a change.
+Cost that grows with the fleet: about 0.8 kB for each member known, departed ones included; MAX_MEMBERS
+bounds it at 3.3 MB. A change costs O(members / SYNC_BUCKETS) at most (an insertion into a sorted list).
+``live`` is cached and costs O(members log members) when it is asked after a change.
 """
 
 from __future__ import annotations
--- a/saltcourse/gossip/membership.py
+++ b/saltcourse/gossip/membership.py
@@ -8,11 +8,12 @@
     zone_silence       zones that cannot be reached, which are no heap of dead members
     own_record         objections and rivals for the name
     update_merging     what a claim about a member leads to
+    sampling           random choices among live members
     broadcasts         updates that ride on other messages
     table_sync         joining and repair
 
 Work per message is that of its updates, work per second is constant (the probe, gossip and sync intervals).
-What grows with the fleet: see each part; all in all about 1 kB of memory for each member.
+What grows with the fleet: see each part; all in all about 0.8 kB of memory for each member.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
     PingRequest, Priority, Send, Status, SyncReply, SyncRequest, ZoneReachability, ZoneSum,
 )
 from saltcourse.gossip.own_record import OwnRecord
+from saltcourse.gossip.sampling import MemberSampler
 from saltcourse.gossip.settings import Timing
 from saltcourse.gossip.suspicion import SuspicionTimers, suspicion_timeout
 from saltcourse.gossip.table_sync import TableSync
@@ -40,8 +42,6 @@
 STRANGER_ACKS = 100.0  # a second, to all senders that are not in the table
 STRANGER_PAGES = 20.0  # a second, of the table to them and asked of them
 LEAVE_FANOUT = 8  # members told at once by one that leaves
-RELAY_CANDIDATES = 4  # looked at for each relay wanted
-SAMPLE_TRIES = 6  # random members looked at for each one wanted
 
 
 class Membership:
@@ -64,6 +64,7 @@
             timing, self._table, self._own, self._health, self._queue, self._order, self._timers, self._zones
         )
         self._detector = FailureDetector(timing, source, self._health, self._merger.updates_for)
+        self._sampler = MemberSampler(source, self._table, self._zones)
         self._sync = TableSync(self._table, seeds, timing, source, self.sample)
         self._last_tick = -math.inf
         self._probe_at = self._gossip_at = self._reconnect_at = math.inf
@@ -90,18 +91,8 @@
         return self._table.live(zone)
 
     def sample(self, count: int) -> list[MemberRecord]:
-        """Different random live members; suspects and unreachable zones only where nobody else is found."""
-        chosen: dict[MemberId, MemberRecord] = {}
-        others: dict[MemberId, MemberRecord] = {}
-        ids = self._table.live_ids
-        for _ in range(SAMPLE_TRIES * count if ids else 0):
-            member = ids.choose(self._random)
-            record = self._table.members[member].record
-            promising = record.status is Status.ALIVE and self._zones.is_reachable(record.zone)
-            (chosen if promising else others)[member] = record
-            if len(chosen) == count:
-                break
-        return list((chosen or others).values())[:count]
+        """Different random live members; fewer where there are not so many."""
+        return self._sampler.sample(count)
 
     def take_received(self) -> list[ZoneSum]:
         received, self._merger.received_sums = self._merger.received_sums, []
@@ -201,7 +192,7 @@
         elif isinstance(message, Gossip):
             self._merger.merge_updates(now, message.updates)
         elif isinstance(message, SyncRequest):
-            if is_known or _allows(self._stranger_pages, now):
+            if is_known or self._stranger_pages.take(now, 1):
                 sends.append(Send(source, self._sync.reply(message), Priority.BULK))
         else:
             sends += self._on_sync_reply(now, source, message)
@@ -216,7 +207,7 @@
             return []
         if is_known:
             return [Send(source, Ack(message.sequence, self._merger.updates_for(header.sender)))]
-        return [Send(source, Ack(message.sequence))] if _allows(self._stranger_acks, now) else []
+        return [Send(source, Ack(message.sequence))] if self._stranger_acks.take(now, 1) else []
 
     def _on_ack(self, now: float, header: Header, message: Ack) -> list[Send]:
         alive, sends = self._detector.on_ack(now, header.sender, message)
@@ -230,7 +221,7 @@
         self, now: float, source: Address, message: PingRequest, is_known: bool
     ) -> list[Send]:
         self._merger.merge_updates(now, message.updates)
-        if not is_known and not _allows(self._stranger_acks, now):
+        if not is_known and not self._stranger_acks.take(now, 1):
             return []
         if message.target == self._id:
             return [Send(source, Ack(message.sequence))]
@@ -264,7 +255,7 @@
         member = self._table.get(header.sender)
         if member is not None and header.incarnation <= member.record.incarnation:
             return self._tell_record(now, member, source, even_alive=True)
-        return self._sync.compare_with(now, source) if _allows(self._stranger_pages, now) else []
+        return self._sync.compare_with(now, source) if self._stranger_pages.take(now, 1) else []
 
     def _tell_record(
         self, now: float, member: Member, destination: Address, even_alive: bool = False
@@ -349,13 +340,7 @@
         self._merger.suspect(now, failed.target)
 
     def _choose_relays(self, target: MemberId) -> list[MemberRecord]:
-        """Preferably of different regions: one of them may reach a region that this member does not."""
-        wanted = self._timing.indirect_probes
-        candidates = [record for record in self.sample(RELAY_CANDIDATES * wanted) if record.id != target]
-        by_region = {record.region: record for record in candidates}
-        chosen = list(by_region.values())
-        chosen += [record for record in candidates if by_region[record.region] is not record]
-        return chosen[:wanted]
+        return self._sampler.relays(target, self._timing.indirect_probes)
 
     def _tick_probe(self, now: float) -> list[Send]:
         if now < self._probe_at:
@@ -393,14 +378,6 @@
         return sends
 
 
-def _allows(bucket: TokenBucket, now: float) -> bool:
-    """Whether one more answer is within the bucket's rate; it is drawn then."""
-    if bucket.available(now) < 1:
-        return False
-    bucket.force(now, 1)
-    return True
-
-
 def _next_time(due: float, interval: float, now: float) -> float:
     """Times that were missed are not made up for."""
     return due + interval if due + interval > now else now + interval
--- /dev/null
+++ b/saltcourse/gossip/sampling.py
@@ -0,0 +1,41 @@
+"""Random choices among the live members, at a cost that does not grow with the fleet."""
+
+from __future__ import annotations
+
+import random
+
+from saltcourse.gossip.member_table import MemberTable
+from saltcourse.gossip.messages import MemberId, MemberRecord, Status
+from saltcourse.gossip.zone_silence import ZoneSilence
+
+RELAY_CANDIDATES = 4  # looked at for each relay wanted
+SAMPLE_TRIES = 6  # random members looked at for each one wanted
+
+
+class MemberSampler:
+    def __init__(self, source: random.Random, table: MemberTable, zones: ZoneSilence) -> None:
+        self._random = source
+        self._table = table
+        self._zones = zones
+
+    def sample(self, count: int) -> list[MemberRecord]:
+        """Different members; suspects and members of unreachable zones only where nobody else is found."""
+        chosen: dict[MemberId, MemberRecord] = {}
+        others: dict[MemberId, MemberRecord] = {}
+        ids = self._table.live_ids
+        for _ in range(SAMPLE_TRIES * count if ids else 0):
+            member = ids.choose(self._random)
+            record = self._table.members[member].record
+            promising = record.status is Status.ALIVE and self._zones.is_reachable(record.zone)
+            (chosen if promising else others)[member] = record
+            if len(chosen) == count:
+                break
+        return list((chosen or others).values())[:count]
+
+    def relays(self, target: MemberId, count: int) -> list[MemberRecord]:
+        """Preferably of different regions: one of them may reach a region that this member does not."""
+        candidates = [record for record in self.sample(RELAY_CANDIDATES * count) if record.id != target]
+        by_region = {record.region: record for record in candidates}
+        chosen = list(by_region.values())
+        chosen += [record for record in candidates if by_region[record.region] is not record]
+        return chosen[:count]
--- a/saltcourse/gossip/update_merging.py
+++ b/saltcourse/gossip/update_merging.py
@@ -202,7 +202,7 @@
             self._add_to_round(now, member, record)
         elif before.zone != record.zone and not is_departed(status):
             self._zones.member_added(now, record.zone)
-        if before is None or status is not before.status or record.incarnation != before.incarnation:
+        if before is None or _restarts_timer(before, record):
             self._set_timer(now, member, record)
         if before is None or status is not before.status:
             self.changes.append(MemberChanged(record.name, record.zone, status))
@@ -215,14 +215,19 @@
             self._order.insert(member)
 
     def _set_timer(self, now: float, member: MemberId, record: MemberRecord) -> None:
-        if record.status is not Status.SUSPECT:
-            self._timers.stop(member)
-        elif self._zones.is_reachable(record.zone):
+        self._timers.stop(member)
+        if record.status is Status.SUSPECT and self._zones.is_reachable(record.zone):
             self._timers.start(now, member, suspicion_timeout(self._timing, self._table.size))
         if record.status is Status.DEAD:
             self._zones.died(record.zone)
 
 
+def _restarts_timer(before: MemberRecord, record: MemberRecord) -> bool:
+    """A suspicion of another incarnation is a new one, and another zone may be one that can be reached."""
+    held = before.status, before.incarnation, before.zone
+    return (record.status, record.incarnation, record.zone) != held
+
+
 def _as_update(member: MemberId, record: MemberRecord) -> Update:
     """In full where a member is new or has a new incarnation; the rest is said of one that is known."""
     if record.status is Status.ALIVE:
--- a/saltcourse/gossip/zone_silence.py
+++ b/saltcourse/gossip/zone_silence.py
@@ -2,11 +2,13 @@
 
 A zone is unreachable when nothing was heard of any of its members for ``zone_silence``, and there is more
 to it than a few dead ones: at least two members, and a fifth of the zone, are suspect or were declared dead
-since its last word; or one of them is, and ZONE_CHECKS others, chosen at random, left a Ping unanswered.
-These Pings go out only while a member of a silent zone is suspect: in a large fleet a small zone may well say
-nothing for a while. A member that hears nobody at all takes every zone for unreachable: it is cut off itself.
+since its last word. In a large fleet a small zone may well say nothing for a while. So, while a member of a
+silent zone is suspect, others of it are sent Pings, and FRACTION_CHECKS of these have to stay unanswered
+too; after ZONE_CHECKS unanswered ones a single suspect is enough. As many different members must have been
+asked, or all that are left. A member that hears nobody at all takes every zone for unreachable: it is cut off
+itself.
 
-Cost that grows with the number of zones: one record each of about 200 bytes. While suspicions stand, at most
+Cost that grows with the number of zones: one record each, below 1 kB. While suspicions stand, at most
 MAX_CHECKS_PER_TICK Pings each CHECK_INTERVAL; CHECKS_PER_MEMBER a second arrive at each member of the zone,
 from the whole fleet.
 """
@@ -14,16 +16,18 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from saltcourse.gossip.member_table import MemberTable
+from saltcourse.gossip.member_table import MemberTable, ZoneIndex
 from saltcourse.gossip.messages import MemberId, Status
 from saltcourse.gossip.settings import Timing
 
 SILENT_FRACTION = 5  # one in so many members of a zone
 SILENT_MEMBERS = 2
+FRACTION_CHECKS = 2  # unanswered, together with the fraction: one may go to another dead member
 ZONE_CHECKS = 4  # unanswered, in place of the fraction
-CHECKS_PER_MEMBER = 10.0  # a second, at each member of a zone that is in doubt
+CHECKS_PER_MEMBER = 20.0  # a second, at each member of a zone that is in doubt
+MAX_CHECKED = 16  # members remembered for each zone
 CHECK_INTERVAL = 0.5  # s, between looks at the zones that have suspects
 MAX_CHECKS_PER_TICK = 4  # zones
 CHECK_TRIES = 8  # random members looked at for one that is not suspect
@@ -35,13 +39,21 @@
 
     heard_at: float
     checks: int = 0  # Pings sent since then
+    checked: set[MemberId] = field(default_factory=set)  # to whom
+    checked_at: float = 0.0  # when the last one was, that went to somebody new
     deaths: int = 0  # declared since then for want of an answer
     reachable: bool = True
 
+    def restart(self, now: float) -> None:
+        self.heard_at = now
+        self.checks = self.deaths = 0
+        self.checked.clear()
+
 
 class ZoneSilence:
     def __init__(self, timing: Timing, source: random.Random, table: MemberTable) -> None:
         self._silence = timing.zone_silence
+        self._answer_time = timing.probe_interval  # that a check has
         self._random = source
         self._table = table
         self._zones: dict[str, ZoneWatch] = {}
@@ -53,8 +65,7 @@
         """At the start, and after a time in which this process did not run: silence until now is none."""
         self._heard_anyone_at = now
         for zone in self._zones.values():
-            zone.heard_at = now
-            zone.checks = 0
+            zone.restart(now)
 
     # ---- what is heard ----------------------------------------------------------------------------
 
@@ -70,8 +81,7 @@
         zone = self._zones.get(name)
         if zone is None:
             return False
-        zone.heard_at = now
-        zone.checks = zone.deaths = 0
+        zone.restart(now)
         released = not zone.reachable
         zone.reachable = True
         self.unreachable.pop(name, None)
@@ -109,7 +119,7 @@
             if isolated or self._is_silent(now, name, zone):
                 silent.append(name)
             elif self._is_doubtful(now, name, zone) and len(checks) < MAX_CHECKS_PER_TICK:
-                checks += self._choose_check(name, zone)
+                checks += self._choose_check(now, name, zone)
         for name in silent:
             self._zones[name].reachable = False
             self.unreachable[name] = None
@@ -120,25 +130,43 @@
             return False
         index = self._table.zones[name]
         gone = len(index.suspects) + zone.deaths
-        is_fraction = gone * SILENT_FRACTION >= len(index.live) + zone.deaths
-        return (gone >= SILENT_MEMBERS and is_fraction) or (gone > 0 and zone.checks >= ZONE_CHECKS)
+        if gone >= SILENT_MEMBERS and gone * SILENT_FRACTION >= len(index.live) + zone.deaths:
+            return self._is_checked(now, index, zone, FRACTION_CHECKS)
+        return gone > 0 and zone.checks > 0 and self._is_checked(now, index, zone, ZONE_CHECKS)
+
+    def _is_checked(self, now: float, index: ZoneIndex, zone: ZoneWatch, wanted: int) -> bool:
+        """Whether so many others, or all that there are, have had the time to answer and did not."""
+        others = len(index.live) - len(index.suspects)
+        if others == 0:
+            return True
+        asked = sum(member in index.live and member not in index.suspects for member in zone.checked)
+        had_time = now - zone.checked_at >= self._answer_time
+        return had_time and zone.checks >= wanted and asked >= min(wanted, others)
 
     def _is_doubtful(self, now: float, name: str, zone: ZoneWatch) -> bool:
         gone = len(self._table.zones[name].suspects) + zone.deaths
         return gone > 0 and now - zone.heard_at > self._silence / 2
 
-    def _choose_check(self, name: str, zone: ZoneWatch) -> list[MemberId]:
+    def _choose_check(self, now: float, name: str, zone: ZoneWatch) -> list[MemberId]:
         """Nobody, more often than not, where the zone is small: the whole fleet does the same now."""
         live = self._table.zones[name].live
         share = CHECKS_PER_MEMBER * CHECK_INTERVAL * len(live) / self._table.size
         if self._random.random() >= share:
             return []
+        chosen = None
         for _ in range(CHECK_TRIES):
             member = live.choose(self._random)
             if self._table.members[member].status is Status.ALIVE:
-                zone.checks += 1
-                return [member]
-        return []
+                chosen = member
+                if member not in zone.checked:
+                    break
+        if chosen is None:
+            return []
+        if chosen not in zone.checked and len(zone.checked) < MAX_CHECKED:
+            zone.checked.add(chosen)
+            zone.checked_at = now
+        zone.checks += 1
+        return [chosen]
 
     def _choose_anyone(self) -> list[MemberId]:
         """Somebody who should answer: hearing nobody may be chance in a small fleet that is half cut off."""
