Gossip: dissemination's deadline is worked out once a call; sizes come from one module

Cause: each datagram worked the next deadline out three times, and the configuration kept a size of its own beside gossip.sizes. Change: the deadline is kept; Configuration uses ConfigurationSize. The test of a cut-off part held a spread of 3 s that was assumed: another draw of probes broke it.

--- a/saltcourse/gossip/configuration.py
+++ b/saltcourse/gossip/configuration.py
@@ -16,19 +16,13 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from saltcourse.gossip.codec import CodecError, change_size, decode_configuration, encode_configuration
-from saltcourse.gossip.messages import (
-    MAX_CONFIGURATION_BYTES,
-    Change,
-    Position,
-    ReplicaState,
-    Write,
-)
+from saltcourse.gossip.codec import CodecError, decode_configuration, encode_configuration
+from saltcourse.gossip.messages import Change, Position, ReplicaState
+from saltcourse.gossip.sizes import ConfigurationSize, is_encodable
 
 CHECKPOINT_INTERVAL = 64  # versions; each one divisible by it is kept encoded
 CHECKPOINTS_KEPT = 2  # the newest
 MAX_LOG_CHANGES = CHECKPOINT_INTERVAL * CHECKPOINTS_KEPT  # never fewer than since the older checkpoint
-ITEM_OVERHEAD_BYTES = 8  # a bound on what an encoded key and value take beside their own bytes
 DIGEST_BYTES = 8
 MAX_VERSION = 2**32 - 1  # of a position on the wire
 
@@ -54,6 +48,13 @@
     INVALID = auto()  # a checkpoint that is not the canonical form of a configuration
 
 
+REFUSALS = {
+    Relation.KNOWN: Outcome.DUPLICATE,
+    Relation.STALE_EPOCH: Outcome.STALE_EPOCH,
+    Relation.CONFLICT: Outcome.CONFLICT,
+}
+
+
 def digest_of(data: bytes) -> int:
     """64 bits."""
     return int.from_bytes(hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest(), "big")
@@ -78,7 +79,7 @@
     def __init__(self) -> None:
         self.position = Position()
         self._values: dict[str, bytes] = {}
-        self._size_bound = 0  # never below the encoded size
+        self._size = ConfigurationSize(())
         self._log: deque[Change] = deque(maxlen=MAX_LOG_CHANGES)
         self._log_base = Position()  # the position on which the first change of the log was applied
         self._checkpoints: deque[Checkpoint] = deque(maxlen=CHECKPOINTS_KEPT)
@@ -156,12 +157,8 @@
     def judge(self, change: Change) -> Outcome:
         """What ``apply`` would do with it."""
         relation = self.relate(change.position)
-        if relation is Relation.KNOWN:
-            return Outcome.DUPLICATE
-        if relation is Relation.STALE_EPOCH:
-            return Outcome.STALE_EPOCH
-        if relation is Relation.CONFLICT:
-            return Outcome.CONFLICT
+        if relation is not Relation.AHEAD:
+            return REFUSALS[relation]
         if change.position.version != self.position.version + 1:
             return Outcome.GAP
         return Outcome.APPLIED if self._fits(change) else Outcome.TOO_LARGE
@@ -172,6 +169,7 @@
             return outcome
         for key, value in change.writes:
             self._write(key, value)
+        self._size.apply(change.writes)
         if len(self._log) == MAX_LOG_CHANGES:
             self._log_base = self._log[0].position
         self._log.append(change)
@@ -183,12 +181,8 @@
     def load(self, checkpoint: Checkpoint) -> Outcome:
         """Replace everything by a checkpoint of a later version. The log begins anew behind it."""
         relation = self.relate(checkpoint.position)
-        if relation is Relation.KNOWN:
-            return Outcome.DUPLICATE
-        if relation is Relation.STALE_EPOCH:
-            return Outcome.STALE_EPOCH
-        if relation is Relation.CONFLICT:
-            return Outcome.CONFLICT
+        if relation is not Relation.AHEAD:
+            return REFUSALS[relation]
         try:
             values = decode_configuration(checkpoint.data)
         except CodecError:
@@ -207,32 +201,15 @@
         self._keep_checkpoint()
 
     def _fits(self, change: Change) -> bool:
-        if change.position.version > MAX_VERSION:
+        if change.position.version > MAX_VERSION or not is_encodable(change.writes):
             return False
-        try:
-            change_size(change)
-        except ValueError:
-            return False
-        growth = sum(_item_bound(key, value) for key, value in change.writes if value is not None)
-        if self._size_bound + growth <= MAX_CONFIGURATION_BYTES:
-            return True
-        return self._fits_exactly(change.writes)
-
-    def _fits_exactly(self, writes: tuple[Write, ...]) -> bool:
-        values: dict[str, bytes | None] = {**self._values, **dict(writes)}
-        try:
-            encode_configuration([(key, value) for key, value in values.items() if value is not None])
-        except ValueError:
-            return False
-        return True
+        return self._size.fits(change.writes)
 
     def _write(self, key: str, value: bytes | None) -> None:
-        previous = self._values.pop(key, None)
-        if previous is not None:
-            self._size_bound -= _item_bound(key, previous)
-        if value is not None:
+        if value is None:
+            self._values.pop(key, None)
+        else:
             self._values[key] = value
-            self._size_bound += _item_bound(key, value)
         self._changed_keys.add(key)
 
     def _replace(self, position: Position, values: dict[str, bytes]) -> None:
@@ -240,7 +217,7 @@
             if self._values.get(key) != values.get(key):
                 self._changed_keys.add(key)
         self._values = values
-        self._size_bound = sum(_item_bound(key, value) for key, value in values.items())
+        self._size = ConfigurationSize(values.items())
         self._log.clear()
         self._log_base = position
         self._checkpoints.clear()
@@ -249,7 +226,3 @@
     def _keep_checkpoint(self) -> None:
         data = encode_configuration(self._values.items())
         self._checkpoints.append(Checkpoint.of(self.position, data))
-
-
-def _item_bound(key: str, value: bytes) -> int:
-    return ITEM_OVERHEAD_BYTES + len(key.encode()) + len(value)
--- a/saltcourse/gossip/dissemination.py
+++ b/saltcourse/gossip/dissemination.py
@@ -65,6 +65,7 @@
         self._announcement_due = False
         self._last_announcement = float("-inf")
         self._last_tick = 0.0
+        self._deadline = 0.0
         self._expected_call = float("inf")  # by when a tick is due: much later, this process stood still
         self._reported_position = Position()
         self._actions: list[DisseminationAction] = []
@@ -136,15 +137,7 @@
         return sends + self._end(now)
 
     def next_deadline(self) -> float:
-        deadline = min(
-            self._last_tick + TICK_INTERVAL_S,
-            self._monitor.next_deadline(),
-            self._fetcher.next_deadline(),
-            self._snapshots.next_deadline(),
-        )
-        if self._announcement_due:
-            deadline = min(deadline, self._last_announcement + ANNOUNCE_INTERVAL_S)
-        return deadline
+        return self._deadline
 
     def take_actions(self) -> list[DisseminationAction]:
         actions, self._actions = self._actions, []
@@ -178,7 +171,19 @@
         if freshness is not self.freshness:
             self.freshness = freshness
             self._actions.append(FreshnessChanged(freshness))
-        self._expected_call = max(self.next_deadline(), now)
+        self._deadline = self._earliest_deadline()
+        self._expected_call = max(self._deadline, now)
+
+    def _earliest_deadline(self) -> float:
+        deadline = min(
+            self._last_tick + TICK_INTERVAL_S,
+            self._monitor.next_deadline(),
+            self._fetcher.next_deadline(),
+            self._snapshots.next_deadline(),
+        )
+        if self._announcement_due:
+            deadline = min(deadline, self._last_announcement + ANNOUNCE_INTERVAL_S)
+        return deadline
 
     # ---- changes and announcements ------------------------------------------------------------------
 
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from random import Random
 
 from saltcourse.emulator.simnet import Host, Link, Network
@@ -40,6 +41,7 @@
 )
 from saltcourse.gossip.settings import Timing
 
+CODEC = Codec(b"k" * 32)
 CONFIGURATION_MESSAGES = (Fetch, Changes, SnapshotFetch, SnapshotPart)
 
 
@@ -73,6 +75,12 @@
     pass
 
 
+@lru_cache(maxsize=10_000)
+def packet_size(message: Message) -> int:
+    """With all headers; the gossip header's size is fixed."""
+    return len(CODEC.encode(Header(0, 0, 0), message)) + PACKET_OVERHEAD_BYTES
+
+
 def address_of(index: int) -> Address:
     return f"10.0.{index // 250}.{index % 250 + 1}", 7000
 
@@ -89,6 +97,8 @@
     dissemination: Dissemination
     applied: list[Position] = field(default_factory=list)
     freshness: list[tuple[float, Freshness]] = field(default_factory=list)
+    heartbeat: Heartbeat = Heartbeat()
+    heartbeat_at: float = 0.0  # when the highest one came
     sent_bytes: int = 0
     received_bytes: int = 0
     received_changes: Counter[Position] = field(default_factory=Counter)
@@ -128,7 +138,6 @@
         self.heartbeat = Heartbeat()
         self.commit_loss = 0.0  # share of the voters that miss a commit
         self._make_configuration = configuration
-        self._codec = Codec(b"k" * 32)
         self._probes = probes
 
     # ---- what the test does ---------------------------------------------------------------------------
@@ -249,7 +258,9 @@
         if isinstance(event, Beat):
             dissemination.beat(now, event.heartbeat)
         if isinstance(event, ProbeEvent):
-            target = self.random.choice([record for record in self.records if record != member.record])
+            own = self.index[member.record.address]
+            step = self.random.randrange(1, len(self.records))
+            target = self.records[(own + step) % len(self.records)]
             return [Send(target.address, Ping(1, target.id))]
         return []
 
@@ -272,7 +283,7 @@
         header = Header(
             member_id(record.name), 0, record.process, dissemination.position, dissemination.heartbeat
         )
-        size = len(self._codec.encode(header, send.message)) + PACKET_OVERHEAD_BYTES
+        size = packet_size(send.message)
         member.sent_bytes += size
         receiver = self.hosts[self.index[send.destination]].name
         self.net.send(host.name, receiver, Datagram(record.address, header, send.message, size))
@@ -284,6 +295,9 @@
 
     def _check(self, host: Host, member: Member) -> None:
         dissemination = member.dissemination
+        if dissemination.heartbeat != member.heartbeat:
+            member.heartbeat = dissemination.heartbeat
+            member.heartbeat_at = self.net.now
         for action in dissemination.take_actions():
             if isinstance(action, Applied):
                 self._check_applied(host, member, action)
--- a/tests/test_gossip_dissemination.py
+++ b/tests/test_gossip_dissemination.py
@@ -677,6 +677,8 @@
     record_property("bytes_max", max(cost))
     assert min(copies) >= 1.0
     assert sum(copies) / len(copies) < 1.1 and max(copies) < 1.5
+    # Measured 68,000 on average and 104,000 at most, with 7 s of probes and heartbeats.
+    assert sum(cost) / len(cost) < 80_000 and max(cost) < 125_000
 
 
 def heartbeat_delays(fleet: Fleet, beat: int) -> list[float]:
@@ -707,25 +709,29 @@
     assert (p99 < 3.0) if fast else (p99 > 3.0)
 
 
-def test_a_cut_off_part_knows_that_it_lacks_news_and_is_current_again_after_the_cut() -> None:
-    fleet = Fleet(4, 30, link=Link(loss=0.01))
+@pytest.mark.parametrize("seed", [4, 5, 6])
+def test_a_cut_off_part_knows_that_it_lacks_news_and_is_current_again_after_the_cut(seed: int) -> None:
+    fleet = Fleet(seed, 30, link=Link(loss=0.01))
     fleet.start_all()
     fleet.beat_every(1.0, 60.0)
     fleet.net.run(10.0)
     assert {member.dissemination.freshness for member in fleet.live()} == {Freshness.CURRENT}
-    part = set(range(20, 30))
-    fleet.isolate(part)
+    fleet.isolate(set(range(20, 30)))
     fill(fleet, 3, keys=3, size=100)
-    # A heartbeat of before the cut may go around in the part for some seconds more.
-    fleet.net.run(10.0 + fleet.timing.stale_after + 3.0)
-    cut_off = [fleet.live()[index].dissemination for index in part]
-    others = [member.dissemination for member in fleet.live()[:20]]
-    assert {one.freshness for one in cut_off} == {Freshness.STALE}
-    assert {one.freshness for one in others} == {Freshness.CURRENT}
-    assert {one.position.version for one in cut_off} == {0}
-    assert {one.position.version for one in others} == {3}
-    fleet.net.heal()
     fleet.net.run(30.0)
+    cut_off, others = fleet.live()[20:], fleet.live()[:20]
+    for member in cut_off:
+        # Exactly so long after the last heartbeat that came. In this part, where two probes of three are
+        # lost to the cut, the last one of before goes around for some seconds: 8.5 s at most in 60 trials.
+        at, freshness = member.freshness[-1]
+        assert freshness is Freshness.STALE
+        assert at == pytest.approx(member.heartbeat_at + fleet.timing.stale_after)
+        assert member.heartbeat_at < 17.0
+        assert member.dissemination.position.version == 0
+    assert {member.dissemination.freshness for member in others} == {Freshness.CURRENT}
+    assert {member.dissemination.position.version for member in others} == {3}
+    fleet.net.heal()
+    fleet.net.run(45.0)
     assert fleet.agreed()
     assert {member.dissemination.freshness for member in fleet.live()} == {Freshness.CURRENT}
 
