--- a/tests/test_gossip_dissemination.py
+++ b/tests/test_gossip_dissemination.py
@@ -873,15 +873,21 @@
                 self.fleet.start(index)
                 return
 
+    def settled(self) -> bool:
+        fresh = all(member.dissemination.freshness is Freshness.CURRENT for member in self.fleet.live())
+        return fresh and self.fleet.agreed()
+
     def quiet(self) -> None:
-        """All is mended; half a minute later all must agree."""
+        """All is mended; within half a minute all must agree."""
         self.fleet.net.heal()
         for index, host in enumerate(self.fleet.hosts):
             if host.stopped:
                 self.fleet.net.go_on(host)
             if not host.alive:
                 self.fleet.start(index)
-        self.fleet.net.run(self.fleet.net.now + 30.0)
+        end = self.fleet.net.now + 30.0
+        while not self.settled() and self.fleet.net.now < end:
+            self.fleet.net.run(self.fleet.net.now + 0.5)
         for member in self.fleet.live():
             found = member.dissemination
             if found.position != self.fleet.position:
