--- a/saltcourse/emulator/gossip/network.py
+++ b/saltcourse/emulator/gossip/network.py
@@ -54,6 +54,14 @@
         return self.sent + self.received
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A datagram that came to a host."""
+
+    host: str
+    event: Received
+
+
 @dataclass
 class FleetHost(Host):
     """A host with its place and address."""
@@ -73,7 +81,7 @@
         self.listeners: dict[Address, str] = {}  # which host has an address now
         self.groups: dict[str, int] = {}  # a partition: hosts of different groups are cut from each other
         self.records: dict[str, Traffic] = {}  # by host
-        self.remembered: deque[Received] = deque(maxlen=REMEMBERED)  # that arrived, to be replayed
+        self.remembered: deque[Arrival] = deque(maxlen=REMEMBERED)  # to be replayed
 
     def add(self, host: FleetHost) -> None:
         self.hosts[host.name] = self.fleet[host.name] = host
@@ -136,7 +144,7 @@
         self.arrived[sender, receiver] = self.now
         event = Received(source, datagram)
         if len(datagram) >= REMEMBERED_BYTES:
-            self.remembered.append(event)
+            self.remembered.append(Arrival(receiver, event))
         self.give(host, event)
 
     def inject(self, receiver: str, source: Address, datagram: bytes) -> None:
--- a/saltcourse/emulator/gossip/schedule.py
+++ b/saltcourse/emulator/gossip/schedule.py
@@ -216,12 +216,14 @@
             self.world.network.inject(host, ("192.0.2.1", 9), datagram)
 
     def _replay(self) -> None:
-        """Old datagrams come again, also at members that they were not for."""
-        remembered = list(self.world.network.remembered)
-        for event in self.draw.sample(remembered, min(REPLAYED, len(remembered))):
-            self.world.network.inject(
-                self.draw.choice(list(self.world.members)), event.source, event.datagram
-            )
+        """Old datagrams come again, also at members that they were not for, but never over a cut."""
+        network = self.world.network
+        remembered = list(network.remembered)
+        for arrival in self.draw.sample(remembered, min(REPLAYED, len(remembered))):
+            host = self.draw.choice(list(self.world.members))
+            came = network.fleet[arrival.host]
+            if came.alive and not came.stopped and network.same_side(host, arrival.host):
+                network.inject(host, arrival.event.source, arrival.event.datagram)
 
 
 def nth(kind: type, skip: int) -> Callable[[Action], bool]:
