Emulator: members have the byte budgets of their roles; bounds are judged all the time

Need: the operator's file gives control members 250 KB/s, and the model gave them a proxy's 21 KB/s. Change: the default of each role; the member table and the queue of updates are held against their bounds twice a second; the bound of a flooded node is 12 elements for each member of a full table, and 2,000 where the table is small.

--- a/saltcourse/emulator/gossip/judge.py
+++ b/saltcourse/emulator/gossip/judge.py
@@ -19,6 +19,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from saltcourse.gossip.broadcasts import MAX_QUEUED
 from saltcourse.gossip.messages import (
     MAX_MEMBERS,
     Applied,
@@ -36,7 +37,6 @@
 
 STALE_SLACK = 6.0  # s; for which the last heartbeat still goes from member to member on the smaller side
 MOST_EVENTS_PER_S = 20_000  # of one process; more is a node that wakes itself without end
-MOST_WAITING_SENDS = 64  # in a node's queues behind the byte budget
 LEFT_KEY = "check/left"  # each change writes the same value to both: a half change shows
 RIGHT_KEY = "check/right"
 TOKEN_PREFIX = "token/"  # each change writes one key of its own
@@ -115,12 +115,10 @@
             self._judge_configuration(process, position)
 
     def event_done(self, process: Process) -> None:
-        """After each event: nothing has changed silently, and nothing grows."""
+        """After each event: nothing has changed silently, and the process does not spin."""
         node = process.node
         if node.dissemination.position != process.position:
             self.broken(f"{process.host} is at {node.dissemination.position} and told {process.position}")
-        if len(node.membership.members) > MAX_MEMBERS:
-            self.broken(f"{process.host} keeps {len(node.membership.members)} members")
         second = int(self.now)
         process.events[second] += 1
         if process.events[second] > MOST_EVENTS_PER_S:
@@ -200,6 +198,15 @@
         if alone > stale_after + STALE_SLACK and process.freshness is Freshness.CURRENT:
             self.broken(f"{process.host} says CURRENT after {alone:.1f} s without a majority of the voters")
 
+    def judge_bounds(self, process: Process) -> None:
+        """Called from time to time: tables and queues are within their bounds."""
+        membership = process.node.membership
+        if len(membership.members) > MAX_MEMBERS:
+            self.broken(f"{process.host} keeps {len(membership.members)} members")
+        waiting = membership.figures()["broadcasts_waiting"]
+        if waiting > MAX_QUEUED:
+            self.broken(f"{process.host} has {waiting} updates to pass on")
+
     def broken(self, what: str) -> None:
         raise Broken(f"at {self.now:.3f} s: {what}")
 
--- a/saltcourse/emulator/gossip/world.py
+++ b/saltcourse/emulator/gossip/world.py
@@ -31,7 +31,7 @@
     ZoneReachability,
 )
 from saltcourse.gossip.node import Node
-from saltcourse.gossip.settings import NodeSettings, Timing, Voter
+from saltcourse.gossip.settings import NodeSettings, Timing, Voter, default_bytes_per_s
 
 PLACES = (
     Place("north", "n1"),
@@ -128,7 +128,8 @@
             0,
             self.random.getrandbits(32),
         )
-        settings = NodeSettings(record, self.seeds, self.voters, key, timing=self.timing)
+        budget = default_bytes_per_s(member.role)
+        settings = NodeSettings(record, self.seeds, self.voters, key, budget, self.timing)
         source = random.Random(self.random.getrandbits(64))
         node = self.node_class(settings, source, host.disk)
         clock = host.clock(self.network.now)
@@ -274,6 +275,7 @@
     def _scan(self) -> None:
         self.judge.now = self.network.now
         for host in self.running():
+            self.judge.judge_bounds(self.processes[host])
             self.judge.judge_freshness(self.processes[host], self.has_majority(host), self.timing.stale_after)
         self.network.at(self.network.now + SCAN_INTERVAL, self._scan)
 
--- a/tests/test_gossip_model.py
+++ b/tests/test_gossip_model.py
@@ -34,6 +34,7 @@
 from saltcourse.gossip.membership import Membership
 from saltcourse.gossip.messages import (
     MAX_DATAGRAM_BYTES,
+    MAX_MEMBERS,
     PACKET_OVERHEAD_BYTES,
     Applied,
     Change,
@@ -429,7 +430,8 @@
 # ---- bounds -----------------------------------------------------------------------------------------
 
 FLOOD = 1_500  # datagrams of each kind
-MOST_ELEMENTS = 120_000  # in all containers of a node: 4,096 members with what is kept of each, logs, queues
+MOST_ELEMENTS = 2_000  # in all containers of a node in a small fleet: logs, queues, counters
+MOST_ELEMENTS_WITH_FULL_TABLE = 12 * MAX_MEMBERS  # records with what is kept beside each
 STRANGER = Header(member_id("stranger"), 1, 77)
 
 
@@ -470,7 +472,8 @@
         if i % 100 == 0:
             world.run(0.05)
     world.run(2.0)
-    assert elements(world.processes["control-2"].node) < MOST_ELEMENTS
+    most = MOST_ELEMENTS_WITH_FULL_TABLE if kind in ("members", "tables") else MOST_ELEMENTS
+    assert elements(world.processes["control-2"].node) < most
 
 
 # ---- nodes broken on purpose ------------------------------------------------------------------------
