--- a/saltcourse/emulator/scale/measures.py
+++ b/saltcourse/emulator/scale/measures.py
@@ -323,12 +323,12 @@
                 newest_at.add(record.at, (record.epoch, highest))
         for outage in self._history.outages:
             started = outage.interval.end
-            if started + JOIN_PATIENCE > self._end:
-                continue
             _, newest = newest_at.at(started) or (0, 0)
             own = by_member.get(outage.member, [])
             joined_at = next((r.at for r in own if r.at > started and r.version >= newest), None)
             until = started + JOIN_PATIENCE if joined_at is None else joined_at
+            if until > self._end:
+                continue
             if newest == 0 or not self._within_reach(outage.member, started + JUST_AFTER, until):
                 continue
             events += 1
