--- a/saltcourse/gossip/zone_silence.py
+++ b/saltcourse/gossip/zone_silence.py
@@ -9,8 +9,8 @@
 itself.
 
 Cost that grows with the number of zones: one record each, below 1 kB. While suspicions stand, at most
-MAX_CHECKS_PER_TICK Pings each CHECK_INTERVAL; CHECKS_PER_MEMBER a second arrive at each member of the zone,
-from the whole fleet.
+MAX_CHECKS_PER_TICK Pings at each look; CHECKS_PER_MEMBER in a probe interval arrive at each member of the
+zone, from the whole fleet.
 """
 
 from __future__ import annotations
@@ -26,9 +26,9 @@
 SILENT_MEMBERS = 2
 FRACTION_CHECKS = 2  # unanswered, together with the fraction: one may go to another dead member
 ZONE_CHECKS = 4  # unanswered, in place of the fraction
-CHECKS_PER_MEMBER = 20.0  # a second, at each member of a zone that is in doubt
+CHECKS_PER_MEMBER = 20.0  # each probe interval, at each member of a zone that is in doubt
 MAX_CHECKED = 16  # members remembered for each zone
-CHECK_INTERVAL = 0.5  # s, between looks at the zones that have suspects
+CHECKS_PER_INTERVAL = 2  # looks at the zones in each probe interval
 MAX_CHECKS_PER_TICK = 4  # zones
 CHECK_TRIES = 8  # random members looked at for one that is not suspect
 
@@ -54,6 +54,7 @@
     def __init__(self, timing: Timing, source: random.Random, table: MemberTable) -> None:
         self._silence = timing.zone_silence
         self._answer_time = timing.probe_interval  # that a check has
+        self._check_interval = timing.probe_interval / CHECKS_PER_INTERVAL
         self._random = source
         self._table = table
         self._zones: dict[str, ZoneWatch] = {}
@@ -106,7 +107,7 @@
         """Zones that have fallen silent, and members to be pinged to find out about others."""
         if now < self._evaluate_at:
             return [], []
-        self._evaluate_at = now + CHECK_INTERVAL
+        self._evaluate_at = now + self._check_interval
         self._forget_empty()
         isolated = self.is_isolated(now)
         silent = []
@@ -150,7 +151,7 @@
     def _choose_check(self, now: float, name: str, zone: ZoneWatch) -> list[MemberId]:
         """Nobody, more often than not, where the zone is small: the whole fleet does the same now."""
         live = self._table.zones[name].live
-        share = CHECKS_PER_MEMBER * CHECK_INTERVAL * len(live) / self._table.size
+        share = CHECKS_PER_MEMBER / CHECKS_PER_INTERVAL * len(live) / self._table.size
         if self._random.random() >= share:
             return []
         chosen = None
@@ -178,7 +179,7 @@
         return []
 
     def _forget_empty(self) -> None:
-        """Zones without live members. Costs O(zones), twice a second."""
+        """Zones without live members. Costs O(zones) at each look."""
         if len(self._zones) != len(self._table.zones):
             for name in [name for name in self._zones if name not in self._table.zones]:
                 del self._zones[name]
