--- a/saltcourse/gossip/sources.py
+++ b/saltcourse/gossip/sources.py
@@ -58,4 +58,6 @@
 
     def next_deadline(self) -> float:
         """When the first claim expires."""
-        return min((claim.expires for claim in self._claims.values()), default=float("inf"))
+        if not self._claims:
+            return float("inf")
+        return min([claim.expires for claim in self._claims.values()])
