--- a/saltcourse/emulator/gossip/world.py
+++ b/saltcourse/emulator/gossip/world.py
@@ -95,7 +95,8 @@
         self._scan()
 
     def _member(self, name: str, place: Place, index: int, role: Role) -> Member:
-        return self.add(name, Member(name, place, (f"10.{PLACES.index(place)}.{index >> 8}.{index & 255}", PORT), role))
+        host = f"10.{PLACES.index(place)}.{index >> 8}.{index & 255}"
+        return self.add(name, Member(name, place, (host, PORT), role))
 
     def add(self, host: str, member: Member) -> Member:
         """A host for this member; it is not started."""
