--- /dev/null
+++ b/saltcourse/gossip/member_table.py
@@ -0,0 +1,312 @@
+"""The member table: what this member believes of every other, with the indexes that keep each look-up cheap.
+
+Cost that grows with the fleet: about 0.8 kB for each member known, departed ones included; MAX_MEMBERS
+bounds it at 3.3 MB. A change costs O(members / SYNC_BUCKETS) at most (an insertion into a sorted list).
+``live`` is cached and costs O(members log members) when it is asked after a change.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from heapq import merge
+
+from saltcourse.gossip.messages import (
+    MAX_LABEL_BYTES, MAX_MEMBERS, MAX_NAME_BYTES, SYNC_BUCKETS, MemberId, MemberRecord, Status,
+)
+
+MAX_INCARNATION = 2**32 - 1
+_WORD = 2**64 - 1
+_MULTIPLIERS = (0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9, 0x94D049BB133111EB)  # of SplitMix64
+
+
+@dataclass(slots=True)
+class Member:
+    """One entry of the table. ``since`` is when its status was last changed, on this member's clock."""
+
+    record: MemberRecord
+    since: float
+    digest: int = 0  # of the record, while it has not departed
+    told_at: float = float("-inf")  # when its own record was last sent to it
+
+    @property
+    def status(self) -> Status:
+        return self.record.status
+
+
+def is_departed(status: Status) -> bool:
+    return status >= Status.DEAD
+
+
+def with_status(record: MemberRecord, incarnation: int, status: Status) -> MemberRecord:
+    """As ``dataclasses.replace``, at a third of its time: it is called for each update that is news."""
+    name, address, region, zone, role = record.name, record.address, record.region, record.zone, record.role
+    return MemberRecord(name, address, region, zone, role, incarnation, record.process, status)
+
+
+def overrides(new: MemberRecord, held: MemberRecord) -> bool:
+    """A total order, so that all members settle on one record whatever the order in which records come.
+
+    The last criterion, the process, matters only while two processes use one name at one incarnation.
+    """
+    return (new.incarnation, new.status, new.process) > (held.incarnation, held.status, held.process)
+
+
+def is_valid(record: MemberRecord) -> bool:
+    """Whether a decoded record can be a member's: it must be possible to name it and to send to it."""
+    host, port = record.address
+    return (
+        0 < len(record.name.encode()) <= MAX_NAME_BYTES
+        and 0 < len(record.zone.encode()) <= MAX_LABEL_BYTES
+        and 0 < len(record.region.encode()) <= MAX_LABEL_BYTES
+        and bool(host)
+        and 0 < port < 2**16
+        and 0 <= record.incarnation <= MAX_INCARNATION
+    )
+
+
+class IdSet:
+    """A set of member ids with insertion, removal and a random choice in constant time."""
+
+    def __init__(self) -> None:
+        self._ids: list[MemberId] = []
+        self._places: dict[MemberId, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._ids)
+
+    def __iter__(self) -> Iterator[MemberId]:
+        return iter(self._ids)
+
+    def __contains__(self, member: object) -> bool:
+        return member in self._places
+
+    def add(self, member: MemberId) -> None:
+        if member not in self._places:
+            self._places[member] = len(self._ids)
+            self._ids.append(member)
+
+    def discard(self, member: MemberId) -> None:
+        place = self._places.pop(member, None)
+        if place is None:
+            return
+        last = self._ids.pop()
+        if last != member:
+            self._ids[place] = last
+            self._places[last] = place
+
+    def choose(self, source: random.Random) -> MemberId:
+        """IndexError when it is empty."""
+        return self._ids[int(source.random() * len(self._ids))]
+
+
+@dataclass(slots=True)
+class ZoneIndex:
+    """The members of one zone that have not departed, this member excluded."""
+
+    live: IdSet = field(default_factory=IdSet)
+    suspects: IdSet = field(default_factory=IdSet)
+
+
+class MemberTable:
+    """All records, the own one included. Departed members are kept in the order of their departure."""
+
+    def __init__(self, me: MemberRecord) -> None:
+        self.own_id = me.id
+        self.members: dict[MemberId, Member] = {}
+        self.live_ids = IdSet()
+        self.dead_ids = IdSet()  # without those that left
+        self.zones: dict[str, ZoneIndex] = {}
+        self.digests = [0] * SYNC_BUCKETS
+        self.status_counts = dict.fromkeys(Status, 0)
+        self._ids: dict[str, MemberId] = {}  # by name; spares the hash of names that are known
+        self._departed: dict[MemberId, None] = {}
+        self._buckets: list[list[MemberId]] = [[] for _ in range(SYNC_BUCKETS)]
+        self._live_records: dict[str | None, tuple[MemberRecord, ...]] = {}
+        self.store(0.0, self.own_id, me)
+
+    def __len__(self) -> int:
+        return len(self.members)
+
+    def get(self, member: MemberId) -> Member | None:
+        return self.members.get(member)
+
+    def id_of(self, record: MemberRecord) -> MemberId:
+        member = self._ids.get(record.name)
+        return record.id if member is None else member
+
+    @property
+    def own(self) -> MemberRecord:
+        return self.members[self.own_id].record
+
+    @property
+    def size(self) -> int:
+        """Of the fleet: members that have not departed, this one included."""
+        return len(self.live_ids) + 1
+
+    # ---- changes ----------------------------------------------------------------------------------
+
+    def has_room(self) -> bool:
+        """For one more member; the one that departed first gives way if it must."""
+        if len(self.members) < MAX_MEMBERS:
+            return True
+        oldest = next(iter(self._departed), None)
+        if oldest is None:
+            return False
+        self.remove(oldest)
+        return True
+
+    def store(self, now: float, member: MemberId, record: MemberRecord) -> None:
+        """Insert or replace a record, whatever it says. The caller has asked ``has_room`` for a new one."""
+        entry = self.members.get(member)
+        if entry is None:
+            entry = self._insert(now, member, record)
+        elif self._keeps_its_place(member, entry.record, record):
+            self._update(now, member, entry, record)
+            return
+        else:
+            self._unindex(member, entry)
+        if entry.record.status is not record.status:
+            entry.since = now
+        entry.record = record
+        self._index(member, entry)
+
+    def remove(self, member: MemberId) -> None:
+        entry = self.members.pop(member)
+        self._unindex(member, entry)
+        del self._ids[entry.record.name]
+        self._departed.pop(member, None)
+        bucket = self._buckets[member % SYNC_BUCKETS]
+        del bucket[bisect_left(bucket, member)]
+
+    def forget_departed(self, before: float) -> None:
+        """Remove those that departed before a time."""
+        while self._departed:
+            oldest = next(iter(self._departed))
+            if self.members[oldest].since > before:
+                return
+            self.remove(oldest)
+
+    def _insert(self, now: float, member: MemberId, record: MemberRecord) -> Member:
+        entry = Member(record, now)
+        self.members[member] = entry
+        self._ids[record.name] = member
+        insort(self._buckets[member % SYNC_BUCKETS], member)
+        return entry
+
+    def _keeps_its_place(self, member: MemberId, held: MemberRecord, record: MemberRecord) -> bool:
+        """Whether a live member stays one, in the same zone: by far the most changes."""
+        return (
+            member != self.own_id
+            and held.status < Status.DEAD
+            and record.status < Status.DEAD
+            and held.zone == record.zone
+        )
+
+    def _update(self, now: float, member: MemberId, entry: Member, record: MemberRecord) -> None:
+        held = entry.record
+        entry.record = record
+        if held.status is not record.status:
+            entry.since = now
+            self.status_counts[held.status] -= 1
+            self.status_counts[record.status] += 1
+            suspects = self.zones[record.zone].suspects
+            if record.status is Status.SUSPECT:
+                suspects.add(member)
+            else:
+                suspects.discard(member)
+        if held.incarnation != record.incarnation or held.process != record.process:
+            digest = _digest(member, record)
+            self.digests[member % SYNC_BUCKETS] ^= entry.digest ^ digest
+            entry.digest = digest
+        self._live_records.pop(None, None)
+        self._live_records.pop(record.zone, None)
+
+    def _index(self, member: MemberId, entry: Member) -> None:
+        record = entry.record
+        self.status_counts[record.status] += 1
+        if is_departed(record.status):
+            self._departed.setdefault(member)
+            if record.status is Status.DEAD:
+                self.dead_ids.add(member)
+        else:
+            self._departed.pop(member, None)
+            entry.digest = _digest(member, record)
+            self.digests[member % SYNC_BUCKETS] ^= entry.digest
+        if member != self.own_id and not is_departed(record.status):
+            self.live_ids.add(member)
+            zone = self.zones.setdefault(record.zone, ZoneIndex())
+            zone.live.add(member)
+            if record.status is Status.SUSPECT:
+                zone.suspects.add(member)
+        self._live_records.pop(None, None)
+        self._live_records.pop(record.zone, None)
+
+    def _unindex(self, member: MemberId, entry: Member) -> None:
+        """All but the place among the departed, which a member keeps from DEAD to LEFT."""
+        record = entry.record
+        self.status_counts[record.status] -= 1
+        self.dead_ids.discard(member)
+        if not is_departed(record.status):
+            self.digests[member % SYNC_BUCKETS] ^= entry.digest
+            self.live_ids.discard(member)
+            self._unindex_zone(member, record.zone)
+        self._live_records.pop(None, None)
+        self._live_records.pop(record.zone, None)
+
+    def _unindex_zone(self, member: MemberId, name: str) -> None:
+        zone = self.zones.get(name)
+        if zone is None:
+            return
+        zone.live.discard(member)
+        zone.suspects.discard(member)
+        if not zone.live:
+            del self.zones[name]
+
+    # ---- reads ------------------------------------------------------------------------------------
+
+    def live(self, zone: str | None = None) -> Sequence[MemberRecord]:
+        """Records of members alive or suspect, without this one, in the order of their ids."""
+        records = self._live_records.get(zone)
+        if records is None:
+            if zone is None:
+                ids: IdSet = self.live_ids
+            elif zone in self.zones:
+                ids = self.zones[zone].live
+            else:
+                return ()
+            records = tuple(self.members[member].record for member in sorted(ids))
+            self._live_records[zone] = records
+        return records
+
+    def ids_after(self, cursor: MemberId, buckets: Sequence[int]) -> Iterator[MemberId]:
+        """Ids above the cursor in the given buckets, in their order; lazily, so that a page costs a page."""
+        return merge(*(_tail(self._buckets[bucket], cursor) for bucket in buckets))
+
+    def differing_buckets(self, digests: Sequence[int]) -> list[int]:
+        """All of them when the other side has sent none."""
+        if len(digests) != SYNC_BUCKETS:
+            return list(range(SYNC_BUCKETS))
+        return [bucket for bucket in range(SYNC_BUCKETS) if digests[bucket] != self.digests[bucket]]
+
+
+def _tail(bucket: list[MemberId], cursor: MemberId) -> Iterator[MemberId]:
+    for place in range(bisect_right(bucket, cursor), len(bucket)):
+        yield bucket[place]
+
+
+def _digest(member: MemberId, record: MemberRecord) -> int:
+    """XORed into its bucket. Alive and suspect are the same here: a suspicion passes by itself. Departed
+    members are left out, so that tables which forget them at different times agree."""
+    return _mix(member + (record.process << 32 | record.incarnation) * _MULTIPLIERS[0])
+
+
+def _mix(value: int) -> int:
+    """The finalizer of SplitMix64: each bit of the result depends on each of the value, and equal changes of
+    two values do not cancel each other when the results are XORed."""
+    value &= _WORD
+    value = (value ^ value >> 30) * _MULTIPLIERS[1] & _WORD
+    value = (value ^ value >> 27) * _MULTIPLIERS[2] & _WORD
+    return value ^ value >> 31
--- a/saltcourse/gossip/settings.py
+++ b/saltcourse/gossip/settings.py
@@ -4,7 +4,14 @@
 
 from dataclasses import dataclass, field
 
-from saltcourse.gossip.messages import Address, MemberId, MemberRecord, member_id
+from saltcourse.gossip.messages import Address, MemberId, MemberRecord, Role, member_id
+
+PROXY_BYTES_PER_S = 21_000.0  # docs/CAPACITY.md: what control may cost a proxy, sent plus received
+CONTROL_BYTES_PER_S = 250_000.0  # control members have machines of their own, and answer many at once
+
+
+def default_bytes_per_s(role: Role) -> float:
+    return CONTROL_BYTES_PER_S if role is Role.CONTROL else PROXY_BYTES_PER_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +19,7 @@
     """Seconds, unless said otherwise. The same at all members."""
 
     probe_interval: float = 1.0  # one member is probed in each
-    probe_timeout: float = 0.4  # for a direct answer, then others are asked; above a round trip between regions
+    probe_timeout: float = 0.4  # for a direct answer, then others are asked; above any round trip
     indirect_probes: int = 3  # members asked to probe for this one
     suspicion_multiplier: float = 4.0  # times log10 of the fleet times the interval: until a suspect is dead
     gossip_interval: float = 0.2  # between messages of updates alone, while there are any to send
@@ -22,15 +29,16 @@
     reconnect_interval: float = 2.0  # between probes of members that are held for dead
     forget_after: float = 3_600.0  # since a member died or left
     zone_silence: float = 3.0  # without a word from a whole zone before its suspicions are held
-    stall: float = 3.0  # by which a tick may be late before this process takes itself for one that stood still
+    stall: float = 3.0  # by which a tick may be late before this process counts as one that stood still
     announce_fanout: int = 4  # members told of a change that was just applied
     fetch_timeout: float = 0.5  # until another member is asked
     snapshot_bytes_per_s: float = 8_000.0  # that a late joiner asks for
     heartbeat_interval: float = 1.0  # of the publisher
-    takeover_after: float = 5.0  # without a heartbeat before another voter tries to publish
+    takeover_after: float = 2.5  # without a heartbeat before another voter tries to publish
     stale_after: float = 10.0  # without a heartbeat before a member says that it may lack news
     publish_timeout: float = 4.0  # until a change that found no majority is told as failed
     tally_interval: float = 1.0  # between sums sent up the aggregation tree
+    sum_interval: float = 5.0  # between sums of a zone told to all: each is passed on as often as an update
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,5 +59,5 @@
     seeds: tuple[Address, ...]  # asked for the member table at the start, and again while nobody is known
     voters: tuple[Voter, ...]
     key: bytes  # shared by all members; authenticates each datagram
-    bytes_per_s: float = 21_000.0  # sent and received, IP and UDP headers included
+    bytes_per_s: float = PROXY_BYTES_PER_S  # sent and received, IP and UDP headers included
     timing: Timing = field(default_factory=Timing)
--- /dev/null
+++ b/saltcourse/gossip/update_merging.py
@@ -0,0 +1,235 @@
+"""What claims about members lead to: the table, the timers, the broadcasts and the changes told outside.
+
+Every claim, whether it came in a message or from this member's own probes, goes through ``UpdateMerger``.
+The cost of a claim does not grow with the fleet. A zone that falls silent or is heard again costs one step
+for each of its suspects, once.
+"""
+
+from __future__ import annotations
+
+from saltcourse.gossip.broadcasts import RECORDS_ROOM_BYTES, BroadcastQueue
+from saltcourse.gossip.codec import update_size
+from saltcourse.gossip.failure_detector import FailureDetector, LocalHealth, ProbeOrder
+from saltcourse.gossip.member_table import Member, MemberTable, is_departed, is_valid, overrides, with_status
+from saltcourse.gossip.messages import (
+    Header, MemberChanged, MemberId, MemberRecord, Status, StatusUpdate, Update, ZoneReachability, ZoneSum,
+)
+from saltcourse.gossip.own_record import OwnRecord
+from saltcourse.gossip.settings import Timing
+from saltcourse.gossip.suspicion import SuspicionTimers, suspicion_timeout
+from saltcourse.gossip.zone_silence import ZoneSilence
+
+MAX_RECEIVED_SUMS = 256  # kept until they are taken
+
+
+class UpdateMerger:
+    """Owns nothing but what it hands out; the parts that it moves are given to it."""
+
+    def __init__(
+        self,
+        timing: Timing,
+        table: MemberTable,
+        own: OwnRecord,
+        health: LocalHealth,
+        queue: BroadcastQueue,
+        order: ProbeOrder,
+        timers: SuspicionTimers,
+        zones: ZoneSilence,
+    ) -> None:
+        self.changes: list[MemberChanged | ZoneReachability] = []
+        self.received_sums: list[ZoneSum] = []
+        self.deaths = 0  # declared by this member
+        self.suspicions = 0  # begun by this member
+        self.invalid_records = 0
+        self.table_full = 0  # records refused
+        self.zones_silent = 0
+        self._timing = timing
+        self._table = table
+        self._own = own
+        self._health = health
+        self._queue = queue
+        self._order = order
+        self._timers = timers
+        self._zones = zones
+
+    # ---- claims in messages -----------------------------------------------------------------------
+
+    def merge_updates(self, now: float, updates: tuple[Update, ...]) -> None:
+        for update in updates:
+            if isinstance(update, StatusUpdate):
+                self._merge_status(now, update)
+            elif isinstance(update, MemberRecord):
+                self._merge_record(now, self._table.id_of(update), update, spread=True)
+            elif len(self.received_sums) < MAX_RECEIVED_SUMS:
+                self.received_sums.append(update)
+
+    def merge_table(self, now: float, records: tuple[MemberRecord, ...], spread: bool) -> None:
+        """Records of another member's table. Departed members that are not known stay unknown: they would be
+        remembered for ever, by one member after the other."""
+        for record in records:
+            member = self._table.id_of(record)
+            if member in self._table.members or not is_departed(record.status):
+                self._merge_record(now, member, record, spread)
+
+    def merge_header(self, now: float, member: MemberId, entry: Member, header: Header) -> None:
+        """The process of a known record was heard itself: it lives, at its header's incarnation."""
+        if header.incarnation > entry.record.incarnation:
+            raised = with_status(entry.record, header.incarnation, Status.ALIVE)
+            self._replace(now, member, entry, raised, spread=True)
+
+    def _merge_status(self, now: float, update: StatusUpdate) -> None:
+        entry = self._table.get(update.member)
+        if entry is None:
+            return
+        if update.member == self._table.own_id:
+            self._merge_claim(now, update.incarnation, update.status, None)
+            return
+        held = entry.record
+        if (update.incarnation, update.status) > (held.incarnation, held.status):
+            record = with_status(held, update.incarnation, update.status)
+            self._replace(now, update.member, entry, record, spread=True)
+
+    def _merge_record(self, now: float, member: MemberId, record: MemberRecord, spread: bool) -> None:
+        entry = self._table.get(member)
+        is_own = member == self._table.own_id
+        if entry is not None and not is_own and not overrides(record, entry.record):
+            return
+        if not is_valid(record):
+            self.invalid_records += 1
+        elif is_own:
+            self._merge_claim(now, record.incarnation, record.status, record.process)
+        elif entry is not None:
+            self._replace(now, member, entry, record, spread)
+        elif self._table.has_room():
+            self._store(now, member, None, record, spread)
+        else:
+            self.table_full += 1
+
+    def _merge_claim(self, now: float, incarnation: int, status: Status, process: int | None) -> None:
+        """Something that is said of this member itself."""
+        if not self._own.claimed(now, incarnation, status, process):
+            return
+        if status is not Status.ALIVE:
+            self._health.change(1)
+        self.publish_own(now)
+
+    # ---- this member's own claims -----------------------------------------------------------------
+
+    def suspect(self, now: float, member: MemberId) -> None:
+        """A live member did not answer."""
+        entry = self._table.members[member]
+        record = entry.record
+        if record.status is Status.ALIVE:
+            self.suspicions += 1
+            is_told = self._zones.is_reachable(record.zone)
+            suspect = with_status(record, record.incarnation, Status.SUSPECT)
+            self._store(now, member, entry, suspect, spread=is_told)
+
+    def expire_suspicions(self, now: float) -> list[MemberId]:
+        """Declare those suspects dead that have not objected in time; the others given are to be asked."""
+        due = self._timers.take_due(now)
+        for member in due.expired:
+            self.deaths += 1
+            entry = self._table.members[member]
+            dead = with_status(entry.record, entry.record.incarnation, Status.DEAD)
+            self._store(now, member, entry, dead, spread=True)
+        return due.to_ask
+
+    def publish_own(self, now: float) -> None:
+        """In full: who has missed an earlier process of this name learns its address by it."""
+        self._table.store(now, self._table.own_id, self._own.record)
+        self._queue.add(self._table.own_id, self._own.record)
+
+    # ---- zones ------------------------------------------------------------------------------------
+
+    def hold_zone(self, zone: str) -> None:
+        """A zone fell silent: its suspicions stand still, and this member adds none. Those of others it still
+        passes on: who knows of too few would take the zone for reachable."""
+        self.zones_silent += 1
+        self.changes.append(ZoneReachability(zone, False))
+        for member in self._table.zones[zone].suspects:
+            self._timers.stop(member)
+
+    def release_zone(self, now: float, zone: str, detector: FailureDetector) -> None:
+        """A silent zone was heard. Probing finds out which of its members are not there."""
+        self.changes.append(ZoneReachability(zone, True))
+        detector.drop(lambda member: self._is_in_zone(member, zone))
+        for member in list(self._table.zones[zone].suspects):
+            entry = self._table.members[member]
+            alive = with_status(entry.record, entry.record.incarnation, Status.ALIVE)
+            self._store(now, member, entry, alive, spread=False)
+
+    def _is_in_zone(self, member: MemberId, zone: str) -> bool:
+        entry = self._table.get(member)
+        return entry is not None and entry.record.zone == zone
+
+    # ---- updates for others -----------------------------------------------------------------------
+
+    def updates_for(self, receiver: MemberId) -> tuple[Update, ...]:
+        """Broadcasts to ride on a message. A receiver that is not held for alive learns that first."""
+        room = RECORDS_ROOM_BYTES
+        member = self._table.get(receiver)
+        if member is None or not self._is_accused(member.record):
+            return self._queue.take(room, self._table.size)
+        room -= update_size(member.record)
+        return (member.record, *self._queue.take(room, self._table.size))
+
+    def _is_accused(self, record: MemberRecord) -> bool:
+        return record.status is not Status.ALIVE and self._zones.is_reachable(record.zone)
+
+    # ---- the one way into the table ---------------------------------------------------------------
+
+    def _replace(
+        self, now: float, member: MemberId, entry: Member, record: MemberRecord, spread: bool
+    ) -> None:
+        """Take over what another member says, where it overrides what is held. Who says that a member of a
+        silent zone is dead cannot know either."""
+        if record.status is not Status.DEAD or self._zones.is_reachable(record.zone):
+            self._store(now, member, entry, record, spread)
+            return
+        suspect = with_status(record, record.incarnation, Status.SUSPECT)
+        if overrides(suspect, entry.record):
+            self._store(now, member, entry, suspect, spread=False)
+
+    def _store(
+        self, now: float, member: MemberId, entry: Member | None, record: MemberRecord, spread: bool
+    ) -> None:
+        """Keep a record, with all that follows. ``entry`` is what is held of the member."""
+        before = None if entry is None else entry.record
+        self._table.store(now, member, record)
+        status = record.status
+        if before is None or is_departed(before.status):
+            self._add_to_round(now, member, record)
+        elif before.zone != record.zone and not is_departed(status):
+            self._zones.member_added(now, record.zone)
+        if before is None or _restarts_timer(before, record):
+            self._set_timer(now, member, record)
+        if before is None or status is not before.status:
+            self.changes.append(MemberChanged(record.name, record.zone, status))
+        if spread:
+            self._queue.add(member, _as_update(member, record))
+
+    def _add_to_round(self, now: float, member: MemberId, record: MemberRecord) -> None:
+        if not is_departed(record.status):
+            self._zones.member_added(now, record.zone)
+            self._order.insert(member)
+
+    def _set_timer(self, now: float, member: MemberId, record: MemberRecord) -> None:
+        self._timers.stop(member)
+        if record.status is Status.SUSPECT and self._zones.is_reachable(record.zone):
+            self._timers.start(now, member, suspicion_timeout(self._timing, self._table.size))
+        if record.status is Status.DEAD:
+            self._zones.died(record.zone)
+
+
+def _restarts_timer(before: MemberRecord, record: MemberRecord) -> bool:
+    """A suspicion of another incarnation is a new one, and another zone may be one that can be reached."""
+    held = before.status, before.incarnation, before.zone
+    return (record.status, record.incarnation, record.zone) != held
+
+
+def _as_update(member: MemberId, record: MemberRecord) -> Update:
+    """In full where a member is new or has a new incarnation; the rest is said of one that is known."""
+    if record.status is Status.ALIVE:
+        return record
+    return StatusUpdate(member, record.incarnation, record.status)
