Gossip: member records are decoded once; a busy queue drops what others send as well

Cause: with 490 members started within 10 s on this machine the members took more CPU than 8 cores have, most of it in encoding and decoding the same records over and over (profile of 240 members in virtual time: 19 of about 45 s), and the lateness then made false suspicions. Change: member records and their bytes are cached, 1,024 of each; in a queue of 64 updates or more an update that another member sends as well counts as passed on.

--- a/saltcourse/gossip/broadcasts.py
+++ b/saltcourse/gossip/broadcasts.py
@@ -10,12 +10,13 @@
 from dataclasses import dataclass
 
 from saltcourse.gossip.codec import update_size
-from saltcourse.gossip.messages import MAX_DATAGRAM_BYTES, MemberId, Update
+from saltcourse.gossip.messages import MAX_DATAGRAM_BYTES, MemberId, Status, Update, ZoneSum
 
 HEADER_RESERVE_BYTES = 80  # of a datagram before the message; the codec's header may grow to it
 MESSAGE_RESERVE_BYTES = 16  # of a message besides its list of records
 RECORDS_ROOM_BYTES = MAX_DATAGRAM_BYTES - HEADER_RESERVE_BYTES - MESSAGE_RESERVE_BYTES
 MAX_QUEUED = 1_024  # updates; at the bound the one that was passed on most often gives way
+BUSY_QUEUE = 64  # updates: more than three datagrams hold
 Key = MemberId | str  # a member's id, or the zone of a sum
 
 
@@ -34,6 +35,7 @@
         self.transmissions = 0  # updates ever taken out to be sent
         self.dropped = 0  # at the bound
         self._multiplier = retransmit_multiplier
+        self._limit = 1  # times that an update is passed on
         self._levels: list[dict[Key, Broadcast]] = [{}]
         self._broadcasts: dict[Key, Broadcast] = {}
 
@@ -53,15 +55,30 @@
         if not self._broadcasts:
             return ()
         taken = self._select(room)
-        limit = math.ceil(self._multiplier * math.log10(fleet + 1))
+        self._limit = math.ceil(self._multiplier * math.log10(fleet + 1))
         for key, broadcast in taken:
-            self._discard(key)
-            broadcast.transmissions += 1
-            if broadcast.transmissions < limit:
-                self._put(key, broadcast)
+            self._count(key, broadcast)
         self.transmissions += len(taken)
         return tuple([broadcast.update for _, broadcast in taken])
 
+    def heard(self, key: Key, incarnation: int, status: Status) -> None:
+        """Another member has sent the same. While many updates wait, this counts as passing it on once:
+        the more often it comes the fewer there are who lack it (Demers et al. 1987: counter and feedback).
+        With few waiting nothing is gained by it, and an objection to a suspicion needs every transmission."""
+        if len(self._broadcasts) < BUSY_QUEUE:
+            return
+        broadcast = self._broadcasts.get(key)
+        if broadcast is None or isinstance(broadcast.update, ZoneSum):
+            return
+        if (broadcast.update.incarnation, broadcast.update.status) == (incarnation, status):
+            self._count(key, broadcast)
+
+    def _count(self, key: Key, broadcast: Broadcast) -> None:
+        self._discard(key)
+        broadcast.transmissions += 1
+        if broadcast.transmissions < self._limit:
+            self._put(key, broadcast)
+
     def _select(self, room: int) -> list[tuple[Key, Broadcast]]:
         selected: list[tuple[Key, Broadcast]] = []
         for level in self._levels:
--- a/saltcourse/gossip/fields.py
+++ b/saltcourse/gossip/fields.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Callable, Sequence
 from enum import Enum, auto
+from functools import lru_cache
 from struct import Struct
 from typing import TypeVar
 
@@ -33,6 +34,7 @@
 
 Record = TypeVar("Record")
 
+RECORD_CACHE_SIZE = 1_024  # member records and their bytes, each about 600 bytes of memory
 MAX_COUNT = 255  # records in one list: its count is one byte
 MAX_VALUE_BYTES = 0xFFFE  # of one value; the next length stands for a deleted key
 DELETED = 0xFFFF  # in place of a value's length
@@ -163,6 +165,7 @@
     return POSITION.pack(position.epoch, position.version)
 
 
+@lru_cache(maxsize=RECORD_CACHE_SIZE)
 def encode_member_record(record: MemberRecord) -> bytes:
     host, port = record.address
     if port == 0:
@@ -238,6 +241,16 @@
 
 
 def read_member_record(reader: Reader) -> MemberRecord:
+    """One record comes many times over while it goes through the fleet: its bytes are decoded once."""
+    start = reader.offset
+    *_, name, region, zone, address, _ = reader.unpack(MEMBER_RECORD)
+    reader.raw(name + region + zone + address)
+    return decode_member_record(reader.data[start : reader.offset])
+
+
+@lru_cache(maxsize=RECORD_CACHE_SIZE)
+def decode_member_record(data: bytes) -> MemberRecord:
+    reader = Reader(data)
     kind, flags, incarnation, process, name, region, zone, address, port = reader.unpack(MEMBER_RECORD)
     role = flags >> ROLE_SHIFT
     status = flags & STATUS_MASK
--- a/saltcourse/gossip/update_merging.py
+++ b/saltcourse/gossip/update_merging.py
@@ -88,11 +88,15 @@
         if (update.incarnation, update.status) > (held.incarnation, held.status):
             record = with_status(held, update.incarnation, update.status)
             self._replace(now, update.member, entry, record, spread=True)
+        else:
+            self._queue.heard(update.member, update.incarnation, update.status)
 
     def _merge_record(self, now: float, member: MemberId, record: MemberRecord, spread: bool) -> None:
         entry = self._table.get(member)
         is_own = member == self._table.own_id
         if entry is not None and not is_own and not overrides(record, entry.record):
+            if spread:
+                self._queue.heard(member, record.incarnation, record.status)
             return
         if not is_valid(record):
             self.invalid_records += 1
