Tests: the weighing's message sizes and rates are those of codec and settings

Need: the weighing stated sizes before the codec had landed. Change: each stated size is compared with the codec's bytes, each rate with the settings' default.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -20,6 +20,10 @@
 import scale_weighing as weighing  # noqa: E402
 from capacity_model import Measurements, Range  # noqa: E402
 
+from saltcourse.gossip import messages  # noqa: E402
+from saltcourse.gossip.codec import Codec, update_size  # noqa: E402
+from saltcourse.gossip.settings import PROXY_BYTES_PER_S, Timing  # noqa: E402
+
 MARK = re.compile(r"\([mwa]\)")
 NUMBER = r"\d+(?:[.,]\d+)*(?:e-?\d+)?"
 FIGURE = re.compile(rf"\b{NUMBER}(?:(?: to |, ){NUMBER})*")  # a range or a list counts as one
@@ -187,6 +191,46 @@
     assert weighing.relay_bytes(980).low > 1.9 * weighing.relay_bytes(490).low
 
 
+def encoded(message: messages.Message) -> int:
+    return len(Codec(bytes(32)).encode(messages.Header(1, 2, 3), message))
+
+
+RECORD = messages.MemberRecord("proxy-017-a1", ("10.0.0.1", 7000), "r1", "zone-a", messages.Role.PROXY, 1, 5)
+CHANGE = messages.Change(messages.Position(1, 3), (("key/name/abc", bytes(100)),))
+
+
+@pytest.mark.parametrize(("stated", "message"), [
+    (weighing.PING, messages.Ping(1, 2)),
+    (weighing.ACK, messages.Ack(1)),
+    (weighing.GOSSIP, messages.Gossip()),
+    (weighing.SYNC, messages.SyncRequest(0, tuple(range(messages.SYNC_BUCKETS)))),
+    (weighing.SYNC_REPLY, messages.SyncReply((), False)),
+    (weighing.FETCH, messages.Fetch(messages.Position(1, 2))),
+    (weighing.TALLY, messages.Tally("zone-a", 8, 720_000)),
+    (weighing.QUORUM_MESSAGE, messages.Accepted(1, messages.Position(1, 3))),
+    (weighing.CHANGE_OVERHEAD + 100, messages.Changes((CHANGE,))),
+], ids=lambda value: type(value).__name__)
+def test_stated_message_sizes_are_those_of_the_codec(stated: int, message: messages.Message) -> None:
+    assert stated == pytest.approx(encoded(message), abs=2)
+
+
+def test_stated_update_sizes_are_those_of_the_codec() -> None:
+    assert update_size(RECORD) == weighing.MEMBER_UPDATE
+    assert update_size(messages.StatusUpdate(1, 2, messages.Status.DEAD)) == weighing.STATUS_UPDATE
+    assert update_size(messages.ZoneSum("zone-a", 1, 98, 8_800_000)) == weighing.ZONE_SUM
+
+
+def test_stated_rates_are_those_of_the_settings() -> None:
+    timing = Timing()
+    assert timing.probe_interval == timing.tally_interval == timing.heartbeat_interval == 1.0
+    assert pytest.approx(timing.gossip_fanout / timing.gossip_interval) == weighing.GOSSIP_RATE
+    assert weighing.retransmissions(99) == timing.retransmit_multiplier * 2
+    assert (timing.sync_interval, timing.sum_interval) == (weighing.SYNC_INTERVAL, weighing.SUM_INTERVAL)
+    assert timing.announce_fanout == weighing.ANNOUNCE_FANOUT
+    assert weighing.MAX_DATAGRAM_BYTES == messages.MAX_DATAGRAM_BYTES
+    assert model.BYTES_BUDGET == PROXY_BYTES_PER_S
+
+
 def test_a_change_is_fetched_served_and_announced() -> None:
     fetched = (weighing.FETCH + 28) + (weighing.CHANGE_OVERHEAD + 100 + 28)
     announced = 4 * (weighing.GOSSIP + 28)
