--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,7 +3,8 @@
 Reads ``docs/measurements/capacity.json`` (what ``benchmarks/slopes.py --save`` kept) and, once it exists,
 ``docs/measurements/scale.json`` (the last line of ``benchmarks/scale.py``). ``--write`` puts the tables and
 figures between the markers of ``docs/CAPACITY.md`` and ``docs/design/scale.md``; ``--json`` prints the single
-figures. The formulas are in ``capacity_model.py``, the tables in ``capacity_tables.py``.
+figures. Formulas are in ``capacity_model.py`` and ``scale_weighing.py``, tables in ``capacity_tables.py``,
+``capacity_roles.py`` and ``scale_weighing.py``.
 """
 
 from __future__ import annotations
@@ -22,7 +23,13 @@
 import capacity_roles  # noqa: E402
 import capacity_tables  # noqa: E402
 import scale_weighing  # noqa: E402
-from scale_weighing import change_bytes, relay_bytes, swim_bytes, swim_memory  # noqa: E402
+from scale_weighing import (  # noqa: E402
+    change_bytes,
+    relay_bytes,
+    suspicion_seconds,
+    swim_bytes,
+    swim_memory,
+)
 from capacity_model import (  # noqa: E402
     BYTES_BUDGET,
     CHANGE_BYTES,
@@ -104,6 +111,8 @@
         "mesh-limit-memory": worked(m.size_at("mesh_memory", MEMORY_BUDGET / 1e3), "proxies"),
         "burst": worked(Range(*(change_bytes(size) * 50 / BYTES_BUDGET for size in CHANGE_BYTES)), "s"),
         "down": worked(100 * machine_down(), "%"),
+        "suspicion": worked(suspicion_seconds(PROXIES), "s"),
+        "suspicion-twice": worked(suspicion_seconds(2 * PROXIES), "s"),
         "swim-memory": worked(swim_memory(PROXIES) * 1e-6, "MB"),
         "swim-bytes": worked(swim_bytes(PROXIES) * 1e-3, "KB/s"),
         "relay-bytes": worked(relay_bytes(2 * PROXIES) * 1e-3, "KB/s"),
--- a/benchmarks/scale_weighing.py
+++ b/benchmarks/scale_weighing.py
@@ -43,6 +43,7 @@
 STATUS_UPDATE, MEMBER_UPDATE, ZONE_SUM = 13, 40, 20
 MAX_DATAGRAM_BYTES = 1_200
 GOSSIP_RATE = 15.0  # datagrams a second at most: one in 0.2 s to each of 3 members
+SUSPICION_MULTIPLIER = 4.0
 SYNC_INTERVAL = 10.0
 SUM_INTERVAL = 5.0  # s between two sums of a zone that all are told
 ANNOUNCE_FANOUT = 4
@@ -59,6 +60,11 @@
     return math.ceil(3 * math.log10(members + 1))
 
 
+def suspicion_seconds(members: int) -> float:
+    """From the suspicion of a member until it is held for dead, if it does not object."""
+    return SUSPICION_MULTIPLIER * math.log10(members)
+
+
 def probe_bytes() -> float:
     """One probe a second made and one answered."""
     return 2.0 * (PING + ACK + 2 * PACKET_BYTES)
--- a/benchmarks/slopes_mesh.py
+++ b/benchmarks/slopes_mesh.py
@@ -63,7 +63,7 @@
             self.received += len(event[1])
             super().got(host, event)
         else:
-            self.cores[receiver].heard(self.net.now, *event)
+            self.cores[receiver].receive(self.net.now, *event)
 
     def begin(self) -> None:
         """Forget what was counted."""
@@ -74,7 +74,7 @@
         """The first proxy's process is another from now on: it holds the same and knows nothing of others."""
         told = lg.Settings((lg.RequestClass("c", 0.5, 3.0),), balancers=self.size, peers=True, groups=True,
                            fleet=lg.FleetTerms(counts=True))
-        core = self.cores[0] = Fleet(told, self.cores[0].boot + 1, self.held[0])
+        core = self.cores[0] = Fleet(told, self.cores[0].incarnation + 1, self.held[0])
         for pair in self.pairs[0]:
             core.hold(*pair, True)
 
--- a/benchmarks/slopes_module.py
+++ b/benchmarks/slopes_module.py
@@ -117,7 +117,7 @@
 
     def hear() -> Fleet:
         for text in texts:
-            receiver.heard(1.1, 0, text)
+            receiver.receive(1.1, 0, text)
         return receiver
 
     return traced(hear)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,13 +12,16 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parents[1]
-sys.path.insert(0, str(ROOT / "benchmarks"))
+sys.path[:0] = [str(ROOT / "benchmarks"), str(ROOT / "example")]
 
 import capacity  # noqa: E402
 import capacity_model as model  # noqa: E402
 import capacity_tables as tables  # noqa: E402
 import scale_weighing as weighing  # noqa: E402
+import slopes_mesh  # noqa: E402
+import slopes_module  # noqa: E402
 from capacity_model import Measurements, Range  # noqa: E402
+from slopes_results import Sizes  # noqa: E402
 
 from saltcourse.gossip import messages  # noqa: E402
 from saltcourse.gossip.codec import Codec, update_size  # noqa: E402
@@ -225,6 +228,7 @@
     assert timing.probe_interval == timing.tally_interval == timing.heartbeat_interval == 1.0
     assert pytest.approx(timing.gossip_fanout / timing.gossip_interval) == weighing.GOSSIP_RATE
     assert weighing.retransmissions(99) == timing.retransmit_multiplier * 2
+    assert weighing.suspicion_seconds(100) == timing.suspicion_multiplier * 2
     assert (timing.sync_interval, timing.sum_interval) == (weighing.SYNC_INTERVAL, weighing.SUM_INTERVAL)
     assert timing.announce_fanout == weighing.ANNOUNCE_FANOUT
     assert weighing.MAX_DATAGRAM_BYTES == messages.MAX_DATAGRAM_BYTES
@@ -237,6 +241,31 @@
     assert weighing.change_bytes(100) == 2 * fetched + 2 * announced
 
 
+# ---- the slopes' own parts --------------------------------------------------------------------------
+
+
+def test_an_observed_proxy_of_the_mesh_knows_all_others_also_after_its_restart() -> None:
+    site = slopes_mesh.ObservedSite(6, 1, seed=1)
+    site.net.run(3.0)
+    assert set(site.cores[0].peers) == set(range(1, 6))
+    assert site.received > 0 < site.sent_bytes()
+    site.restart_first()
+    site.net.run(6.0)
+    assert set(site.cores[0].peers) == set(range(1, 6))
+
+
+def test_the_mesh_gives_every_cost_that_is_kept() -> None:
+    sizes = Sizes(fleet_settle=1.0, fleet_seconds=1.0)
+    found = slopes_mesh.observe(4, 1, 1, sizes)
+    assert set(found) == set(slopes_mesh.UNITS)
+
+
+def test_a_peers_pairs_and_own_groups_take_memory_by_their_number() -> None:
+    assert slopes_module.pairs_of_peer(400) > 1.5 * slopes_module.pairs_of_peer(200)
+    with_groups = slopes_module.traced(lambda: slopes_module.resume(200, True))
+    assert with_groups > slopes_module.traced(lambda: slopes_module.resume(200, False))
+
+
 # ---- pages ------------------------------------------------------------------------------------------
 
 
