--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,13 +12,20 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parents[1]
-sys.path.insert(0, str(ROOT / "benchmarks"))
+sys.path[:0] = [str(ROOT / "benchmarks"), str(ROOT / "example")]
 
 import capacity  # noqa: E402
 import capacity_model as model  # noqa: E402
 import capacity_tables as tables  # noqa: E402
 import scale_weighing as weighing  # noqa: E402
+import slopes_mesh  # noqa: E402
+import slopes_module  # noqa: E402
 from capacity_model import Measurements, Range  # noqa: E402
+from slopes_results import Sizes  # noqa: E402
+
+from saltcourse.gossip import messages  # noqa: E402
+from saltcourse.gossip.codec import Codec, update_size  # noqa: E402
+from saltcourse.gossip.settings import PROXY_BYTES_PER_S, Timing  # noqa: E402
 
 MARK = re.compile(r"\([mwa]\)")
 NUMBER = r"\d+(?:[.,]\d+)*(?:e-?\d+)?"
@@ -187,12 +194,78 @@
     assert weighing.relay_bytes(980).low > 1.9 * weighing.relay_bytes(490).low
 
 
+def encoded(message: messages.Message) -> int:
+    return len(Codec(bytes(32)).encode(messages.Header(1, 2, 3), message))
+
+
+RECORD = messages.MemberRecord("proxy-017-a1", ("10.0.0.1", 7000), "r1", "zone-a", messages.Role.PROXY, 1, 5)
+CHANGE = messages.Change(messages.Position(1, 3), (("key/name/abc", bytes(100)),))
+
+
+@pytest.mark.parametrize(("stated", "message"), [
+    (weighing.PING, messages.Ping(1, 2)),
+    (weighing.ACK, messages.Ack(1)),
+    (weighing.GOSSIP, messages.Gossip()),
+    (weighing.SYNC, messages.SyncRequest(0, tuple(range(messages.SYNC_BUCKETS)))),
+    (weighing.SYNC_REPLY, messages.SyncReply((), False)),
+    (weighing.FETCH, messages.Fetch(messages.Position(1, 2))),
+    (weighing.TALLY, messages.Tally("zone-a", 8, 720_000)),
+    (weighing.QUORUM_MESSAGE, messages.Accepted(1, messages.Position(1, 3))),
+    (weighing.CHANGE_OVERHEAD + 100, messages.Changes((CHANGE,))),
+], ids=lambda value: type(value).__name__)
+def test_stated_message_sizes_are_those_of_the_codec(stated: int, message: messages.Message) -> None:
+    assert stated == pytest.approx(encoded(message), abs=2)
+
+
+def test_stated_update_sizes_are_those_of_the_codec() -> None:
+    assert update_size(RECORD) == weighing.MEMBER_UPDATE
+    assert update_size(messages.StatusUpdate(1, 2, messages.Status.DEAD)) == weighing.STATUS_UPDATE
+    assert update_size(messages.ZoneSum("zone-a", 1, 98, 8_800_000)) == weighing.ZONE_SUM
+
+
+def test_stated_rates_are_those_of_the_settings() -> None:
+    timing = Timing()
+    assert timing.probe_interval == timing.tally_interval == timing.heartbeat_interval == 1.0
+    assert pytest.approx(timing.gossip_fanout / timing.gossip_interval) == weighing.GOSSIP_RATE
+    assert weighing.retransmissions(99) == timing.retransmit_multiplier * 2
+    assert weighing.suspicion_seconds(100) == timing.suspicion_multiplier * 2
+    assert (timing.sync_interval, timing.sum_interval) == (weighing.SYNC_INTERVAL, weighing.SUM_INTERVAL)
+    assert timing.announce_fanout == weighing.ANNOUNCE_FANOUT
+    assert weighing.MAX_DATAGRAM_BYTES == messages.MAX_DATAGRAM_BYTES
+    assert model.BYTES_BUDGET == PROXY_BYTES_PER_S
+
+
 def test_a_change_is_fetched_served_and_announced() -> None:
     fetched = (weighing.FETCH + 28) + (weighing.CHANGE_OVERHEAD + 100 + 28)
     announced = 4 * (weighing.GOSSIP + 28)
     assert weighing.change_bytes(100) == 2 * fetched + 2 * announced
 
 
+# ---- the slopes' own parts --------------------------------------------------------------------------
+
+
+def test_an_observed_proxy_of_the_mesh_knows_all_others_also_after_its_restart() -> None:
+    site = slopes_mesh.ObservedSite(6, 1, seed=1)
+    site.net.run(3.0)
+    assert set(site.cores[0].peers) == set(range(1, 6))
+    assert site.received > 0 < site.sent_bytes()
+    site.restart_first()
+    site.net.run(6.0)
+    assert set(site.cores[0].peers) == set(range(1, 6))
+
+
+def test_the_mesh_gives_every_cost_that_is_kept() -> None:
+    sizes = Sizes(fleet_settle=1.0, fleet_seconds=1.0)
+    found = slopes_mesh.observe(4, 1, 1, sizes)
+    assert set(found) == set(slopes_mesh.UNITS)
+
+
+def test_a_peers_pairs_and_own_groups_take_memory_by_their_number() -> None:
+    assert slopes_module.pairs_of_peer(400) > 1.5 * slopes_module.pairs_of_peer(200)
+    with_groups = slopes_module.traced(lambda: slopes_module.resume(200, True))
+    assert with_groups > slopes_module.traced(lambda: slopes_module.resume(200, False))
+
+
 # ---- pages ------------------------------------------------------------------------------------------
 
 
