--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -35,6 +35,7 @@
 
 def commit() -> str:
     """The commit that was measured; ``+`` where the program differs from it."""
+
     def git(*words: str) -> str:
         return subprocess.run(["git", *words], cwd=ROOT, text=True, capture_output=True).stdout.strip()
 
@@ -61,10 +62,15 @@
 
 
 def kept(results: Results, command: str) -> dict[str, Any]:
-    return {"command": command, "commit": commit(), "python": platform.python_version(),
-            "cores": os.cpu_count(), "machine": platform.machine(),
-            "repetitions": len(next(iter(results.slopes.values())).values),
-            "slopes": {name: asdict(slope) for name, slope in results.slopes.items()}}
+    return {
+        "command": command,
+        "commit": commit(),
+        "python": platform.python_version(),
+        "cores": os.cpu_count(),
+        "machine": platform.machine(),
+        "repetitions": len(next(iter(results.slopes.values())).values),
+        "slopes": {name: asdict(slope) for name, slope in results.slopes.items()},
+    }
 
 
 @click.command()
--- a/benchmarks/slopes_data_path.py
+++ b/benchmarks/slopes_data_path.py
@@ -46,8 +46,9 @@
 
 @contextmanager
 def running(*command: str) -> Iterator[subprocess.Popen[str]]:
-    process = subprocess.Popen([sys.executable, *command], cwd=ROOT, text=True, stdout=subprocess.PIPE,
-                               stderr=subprocess.DEVNULL)
+    process = subprocess.Popen(
+        [sys.executable, *command], cwd=ROOT, text=True, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+    )
     try:
         yield process
     finally:
@@ -128,8 +129,11 @@
     config = json.loads((ROOT / "example" / "config.json").read_text())
     port = free_port()
     config |= {"listen": f"{HOST}:{port}", "discovery": f"{HOST}:{discovery}"}
-    config["known"] = {"version": 1, "full": True, "servers": [
-        {"id": name, "addr": f"{HOST}:{at}", "state": "SERVING"} for name, at in servers.items()]}
+    config["known"] = {
+        "version": 1,
+        "full": True,
+        "servers": [{"id": name, "addr": f"{HOST}:{at}", "state": "SERVING"} for name, at in servers.items()],
+    }
     config["limits"] = {"memory_mb": 2_048, "sockets": 16_384}
     config["settings"]["classes"][0] |= {"aim": 1.0, "give_up": CLIENT_DEADLINE_MS / 1000}
     config["settings"]["limits"]["connect_timeout"] = 1.0
@@ -193,7 +197,6 @@
         self.transport.write(b"PUSH %d\r\n" % lines)
         await self._served
 
-
     async def push_again(self, times: int, lines: int = 1) -> None:
         """So many lines there, one after another, and for each so many back."""
         for _ in range(times):
--- a/benchmarks/slopes_mesh.py
+++ b/benchmarks/slopes_mesh.py
@@ -72,8 +72,13 @@
 
     def restart_first(self) -> None:
         """The first proxy's process is another from now on: it holds the same and knows nothing of others."""
-        told = lg.Settings((lg.RequestClass("c", 0.5, 3.0),), balancers=self.size, peers=True, groups=True,
-                           fleet=lg.FleetTerms(counts=True))
+        told = lg.Settings(
+            (lg.RequestClass("c", 0.5, 3.0),),
+            balancers=self.size,
+            peers=True,
+            groups=True,
+            fleet=lg.FleetTerms(counts=True),
+        )
         core = self.cores[0] = Fleet(told, self.cores[0].incarnation + 1, self.held[0])
         for pair in self.pairs[0]:
             core.hold(*pair, True)
@@ -107,8 +112,11 @@
     spent, core = sizes.fleet_seconds * OBSERVERS, site.cores[0]
     received, take = site.received / spent / 1e3, 1e3 * site.cpu / spent
     found = {
-        "mesh_sent": site.sent_bytes() / sizes.fleet_seconds / 1e3, "mesh_received": received,
-        "mesh_messages": site.taken / spent, "mesh_take": take, "mesh_send": 1e3 * site.send_cpu / spent,
+        "mesh_sent": site.sent_bytes() / sizes.fleet_seconds / 1e3,
+        "mesh_received": received,
+        "mesh_messages": site.taken / spent,
+        "mesh_take": take,
+        "mesh_send": 1e3 * site.send_cpu / spent,
         "mesh_memory": deep_bytes([core.peers, core.holders], set()) / 1e3,
     }
     site.begin()
@@ -120,9 +128,16 @@
     return found
 
 
-UNITS = {"mesh_restart_received": "kb", "mesh_restart_take": "ms", "mesh_sent": "kb_per_s",
-         "mesh_received": "kb_per_s", "mesh_messages": "per_s", "mesh_take": "ms_per_s",
-         "mesh_send": "ms_per_s", "mesh_memory": "kb"}
+UNITS = {
+    "mesh_restart_received": "kb",
+    "mesh_restart_take": "ms",
+    "mesh_sent": "kb_per_s",
+    "mesh_received": "kb_per_s",
+    "mesh_messages": "per_s",
+    "mesh_take": "ms_per_s",
+    "mesh_send": "ms_per_s",
+    "mesh_memory": "kb",
+}
 CROWD_COSTS = ("mesh_sent", "mesh_messages", "mesh_take", "mesh_memory")
 
 
--- a/benchmarks/slopes_module.py
+++ b/benchmarks/slopes_module.py
@@ -54,9 +54,25 @@
 
 def list_costs(servers: int) -> dict[str, float]:
     """The list's way into the module: text read, first whole list, one change, a whole list again."""
-    text = orjson.dumps({"version": 1, "full": True, "servers": [
-        {"id": f"server-{i}", "addr": f"10.0.{i // 250}.{i % 250}:8081", "zone": "z1", "kind": "m2",
-         "cell": 1, "state": "SERVING", "weight": 1.0, "started_ms": 0} for i in range(servers)]})
+    text = orjson.dumps(
+        {
+            "version": 1,
+            "full": True,
+            "servers": [
+                {
+                    "id": f"server-{i}",
+                    "addr": f"10.0.{i // 250}.{i % 250}:8081",
+                    "zone": "z1",
+                    "kind": "m2",
+                    "cell": 1,
+                    "state": "SERVING",
+                    "weight": 1.0,
+                    "started_ms": 0,
+                }
+                for i in range(servers)
+            ],
+        }
+    )
     begin = time.process_time()
     read_list(orjson.loads(text))
     read = 1e3 * (time.process_time() - begin)
@@ -65,8 +81,13 @@
     drained = (lg.Member("server-0", lg.ServerState.DRAINING),)
     change, _ = timed(balancer, 1.0, lg.MembersChanged(lg.ListKind.CHANGED, drained))
     again, _ = timed(balancer, 2.0, lg.MembersChanged(lg.ListKind.WHOLE, whole))
-    return {"list_read": read, "list_first": first, "list_change": change, "list_whole": again,
-            "list_text": len(text) / 1e3}
+    return {
+        "list_read": read,
+        "list_first": first,
+        "list_change": change,
+        "list_whole": again,
+        "list_text": len(text) / 1e3,
+    }
 
 
 def measure_module(results: Results, sizes: Sizes) -> None:
@@ -76,8 +97,13 @@
     results.add("placement", "ms", "server", sizes.servers, [first for first, _ in plain])
     results.add("placement_new_group", "ms", "server", sizes.servers, [first for first, _ in grouped])
     results.add("placement_held_group", "ms", "server", sizes.servers, [again for _, again in grouped])
-    for name, unit in {"list_read": "ms", "list_first": "ms", "list_change": "ms", "list_whole": "ms",
-                       "list_text": "kb"}.items():
+    for name, unit in {
+        "list_read": "ms",
+        "list_first": "ms",
+        "list_change": "ms",
+        "list_whole": "ms",
+        "list_text": "kb",
+    }.items():
         results.add(name, unit, "server", sizes.servers, [found[name] for found in lists])
 
 
--- a/benchmarks/slopes_results.py
+++ b/benchmarks/slopes_results.py
@@ -29,10 +29,22 @@
 
 
 QUICK = Sizes(
-    settle=0.1, timers=0.1, connections=(50, 100, 200), idle_seconds=0.2, lines=(300, 600, 900),
-    lines_alone=(100, 200, 300), set_ups=(40, 80, 160),
-    fleet=(8, 16, 24), fleet_settle=4.0, fleet_seconds=4.0, crowds=(1, 2, 3), servers=(10, 100, 1_000),
-    placements=20, groups=(500, 1_000, 2_000), datagrams=(500, 1_000, 2_000))
+    settle=0.1,
+    timers=0.1,
+    connections=(50, 100, 200),
+    idle_seconds=0.2,
+    lines=(300, 600, 900),
+    lines_alone=(100, 200, 300),
+    set_ups=(40, 80, 160),
+    fleet=(8, 16, 24),
+    fleet_settle=4.0,
+    fleet_seconds=4.0,
+    crowds=(1, 2, 3),
+    servers=(10, 100, 1_000),
+    placements=20,
+    groups=(500, 1_000, 2_000),
+    datagrams=(500, 1_000, 2_000),
+)
 
 
 @dataclass
--- a/saltcourse/emulator/gossip_quorum.py
+++ b/saltcourse/emulator/gossip_quorum.py
@@ -21,8 +21,20 @@
 
 from saltcourse.emulator.simnet import Host, Link, Network
 from saltcourse.gossip.messages import (
-    Change, Header, Heartbeat, Persist, Position, Publish, Published, PublishError, PublishFailed,
-    QuorumMessage, ReplicaState, Send, Tick, Write,
+    Change,
+    Header,
+    Heartbeat,
+    Persist,
+    Position,
+    Publish,
+    Published,
+    PublishError,
+    PublishFailed,
+    QuorumMessage,
+    ReplicaState,
+    Send,
+    Tick,
+    Write,
 )
 from saltcourse.gossip.quorum import Beat, Commit, Quorum, QuorumAction
 from saltcourse.gossip.settings import Timing, Voter
@@ -140,8 +152,14 @@
 class World:
     """Voters, their disks and the judge. ``core`` is the class under test, or a broken one."""
 
-    def __init__(self, seed: int, count: int, link: Link, core: type[Quorum] = Quorum,
-                 link_between: Callable[[str, str], Link] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        count: int,
+        link: Link,
+        core: type[Quorum] = Quorum,
+        link_between: Callable[[str, str], Link] | None = None,
+    ) -> None:
         self.random = random.Random(seed)
         self.core = core
         self.timing = Timing()
--- a/saltcourse/gossip/aggregation.py
+++ b/saltcourse/gossip/aggregation.py
@@ -18,7 +18,16 @@
 from dataclasses import dataclass
 
 from saltcourse.gossip.messages import (
-    Gossip, Header, MemberId, MemberRecord, Priority, Role, Send, Status, Tally, ZoneSum,
+    Gossip,
+    Header,
+    MemberId,
+    MemberRecord,
+    Priority,
+    Role,
+    Send,
+    Status,
+    Tally,
+    ZoneSum,
 )
 from saltcourse.gossip.settings import Timing
 
--- a/saltcourse/gossip/failure_detector.py
+++ b/saltcourse/gossip/failure_detector.py
@@ -16,7 +16,15 @@
 
 from saltcourse.gossip.member_table import Member, MemberTable
 from saltcourse.gossip.messages import (
-    Ack, Address, MemberId, MemberRecord, Nack, Ping, PingRequest, Send, Update,
+    Ack,
+    Address,
+    MemberId,
+    MemberRecord,
+    Nack,
+    Ping,
+    PingRequest,
+    Send,
+    Update,
 )
 from saltcourse.gossip.settings import Timing
 
--- a/saltcourse/gossip/member_table.py
+++ b/saltcourse/gossip/member_table.py
@@ -14,7 +14,13 @@
 from heapq import merge
 
 from saltcourse.gossip.messages import (
-    MAX_LABEL_BYTES, MAX_MEMBERS, MAX_NAME_BYTES, SYNC_BUCKETS, MemberId, MemberRecord, Status,
+    MAX_LABEL_BYTES,
+    MAX_MEMBERS,
+    MAX_NAME_BYTES,
+    SYNC_BUCKETS,
+    MemberId,
+    MemberRecord,
+    Status,
 )
 
 MAX_INCARNATION = 2**32 - 1
--- a/saltcourse/gossip/membership.py
+++ b/saltcourse/gossip/membership.py
@@ -27,8 +27,24 @@
 from saltcourse.gossip.failure_detector import FailedProbe, FailureDetector, LocalHealth, ProbeOrder
 from saltcourse.gossip.member_table import Member, MemberTable, is_departed
 from saltcourse.gossip.messages import (
-    Ack, Address, Gossip, Header, MemberChanged, MemberId, MemberRecord, MembershipMessage, Nack, Ping,
-    PingRequest, Priority, Send, Status, SyncReply, SyncRequest, ZoneReachability, ZoneSum,
+    Ack,
+    Address,
+    Gossip,
+    Header,
+    MemberChanged,
+    MemberId,
+    MemberRecord,
+    MembershipMessage,
+    Nack,
+    Ping,
+    PingRequest,
+    Priority,
+    Send,
+    Status,
+    SyncReply,
+    SyncRequest,
+    ZoneReachability,
+    ZoneSum,
 )
 from saltcourse.gossip.own_record import OwnRecord
 from saltcourse.gossip.sampling import MemberSampler
@@ -276,8 +292,13 @@
 
     def next_deadline(self) -> float:
         deadline = min(
-            self._probe_at, self._reconnect_at, self._detector.next_deadline(), self._timers.next_deadline(),
-            self._zones.next_deadline(), self._sync.next_deadline(), self._own.next_deadline(),
+            self._probe_at,
+            self._reconnect_at,
+            self._detector.next_deadline(),
+            self._timers.next_deadline(),
+            self._zones.next_deadline(),
+            self._sync.next_deadline(),
+            self._own.next_deadline(),
         )
         if len(self._queue) and len(self._table.live_ids):
             deadline = min(deadline, self._gossip_at)
--- a/saltcourse/gossip/messages.py
+++ b/saltcourse/gossip/messages.py
@@ -436,6 +436,12 @@
 
 
 Action = (
-    Persist | Transmit | Applied | Published | PublishFailed
-    | MemberChanged | FreshnessChanged | ZoneReachability
+    Persist
+    | Transmit
+    | Applied
+    | Published
+    | PublishFailed
+    | MemberChanged
+    | FreshnessChanged
+    | ZoneReachability
 )
--- a/saltcourse/gossip/quorum.py
+++ b/saltcourse/gossip/quorum.py
@@ -98,8 +98,9 @@
 class Quorum:
     """One voter. ``state`` is what it persisted last, in this process or an earlier one."""
 
-    def __init__(self, me: Voter, voters: tuple[Voter, ...], timing: Timing, source: random.Random,
-                 state: ReplicaState) -> None:
+    def __init__(
+        self, me: Voter, voters: tuple[Voter, ...], timing: Timing, source: random.Random, state: ReplicaState
+    ) -> None:
         self.phase = Phase.FOLLOWING
         self.acceptor = Acceptor(state)
         self._me = me
@@ -153,8 +154,9 @@
             self._prepare(now)
         return self._take_actions()
 
-    def handle(self, now: float, source: Address, header: Header,
-               message: QuorumMessage) -> list[QuorumAction]:
+    def handle(
+        self, now: float, source: Address, header: Header, message: QuorumMessage
+    ) -> list[QuorumAction]:
         """A message of another voter."""
         if not self._is_allowed(header.sender, message):
             return []
@@ -183,8 +185,9 @@
         self._see_epoch(now, max(position.epoch, heartbeat.epoch))
         return self._take_actions()
 
-    def applied(self, now: float, position: Position,
-                configuration: Mapping[str, bytes]) -> list[QuorumAction]:
+    def applied(
+        self, now: float, position: Position, configuration: Mapping[str, bytes]
+    ) -> list[QuorumAction]:
         """The dissemination has applied what is committed up to this position."""
         if not self.acceptor.learn(position, tuple(sorted(configuration.items()))):
             return []
--- a/saltcourse/gossip/store.py
+++ b/saltcourse/gossip/store.py
@@ -75,9 +75,10 @@
             self._save_configuration(saved, state)
             self._save_accepted(saved, state)
             committed = state.committed
-            self._db.execute("INSERT OR REPLACE INTO replica VALUES (1, ?, ?, ?, ?, ?)",
-                             (self.me, state.promised, committed.epoch, committed.version,
-                              _digest(self.me, state)))
+            self._db.execute(
+                "INSERT OR REPLACE INTO replica VALUES (1, ?, ?, ?, ?, ?)",
+                (self.me, state.promised, committed.epoch, committed.version, _digest(self.me, state)),
+            )
             self._db.execute("COMMIT")
         except sqlite3.Error as error:
             self.close()
@@ -128,14 +129,19 @@
 
     def _load_accepted(self) -> tuple[AcceptedChange, ...]:
         rows = self._db.execute(
-            "SELECT version, accepted_epoch, epoch FROM accepted ORDER BY version").fetchall()
+            "SELECT version, accepted_epoch, epoch FROM accepted ORDER BY version"
+        ).fetchall()
         return tuple(
             AcceptedChange(accepted_epoch, Change(Position(epoch, version), self._load_writes(version)))
-            for version, accepted_epoch, epoch in rows)
+            for version, accepted_epoch, epoch in rows
+        )
 
     def _load_writes(self, version: int) -> tuple[Write, ...]:
-        return tuple(self._db.execute(
-            "SELECT key, value FROM accepted_write WHERE version = ? ORDER BY number", (version,)))
+        return tuple(
+            self._db.execute(
+                "SELECT key, value FROM accepted_write WHERE version = ? ORDER BY number", (version,)
+            )
+        )
 
     def _save_configuration(self, saved: ReplicaState, state: ReplicaState) -> None:
         old = dict(saved.configuration)
@@ -152,12 +158,16 @@
             self._db.execute("DELETE FROM accepted_write WHERE version = ?", (version,))
         for entry in set(state.accepted) - set(saved.accepted):
             position = entry.change.position
-            self._db.execute("INSERT INTO accepted VALUES (?, ?, ?)",
-                             (position.version, entry.epoch, position.epoch))
+            self._db.execute(
+                "INSERT INTO accepted VALUES (?, ?, ?)", (position.version, entry.epoch, position.epoch)
+            )
             self._db.executemany(
                 "INSERT INTO accepted_write VALUES (?, ?, ?, ?)",
-                [(position.version, number, key, value)
-                 for number, (key, value) in enumerate(entry.change.writes)])
+                [
+                    (position.version, number, key, value)
+                    for number, (key, value) in enumerate(entry.change.writes)
+                ],
+            )
 
 
 def _digest(member: str, state: ReplicaState) -> str:
--- a/saltcourse/gossip/table_sync.py
+++ b/saltcourse/gossip/table_sync.py
@@ -16,7 +16,14 @@
 from saltcourse.gossip.codec import update_size
 from saltcourse.gossip.member_table import MemberTable, is_departed, with_status
 from saltcourse.gossip.messages import (
-    Address, MemberId, MemberRecord, Priority, Send, Status, SyncReply, SyncRequest,
+    Address,
+    MemberId,
+    MemberRecord,
+    Priority,
+    Send,
+    Status,
+    SyncReply,
+    SyncRequest,
 )
 from saltcourse.gossip.settings import Timing
 
--- a/saltcourse/gossip/update_merging.py
+++ b/saltcourse/gossip/update_merging.py
@@ -12,7 +12,15 @@
 from saltcourse.gossip.failure_detector import FailureDetector, LocalHealth, ProbeOrder
 from saltcourse.gossip.member_table import Member, MemberTable, is_departed, is_valid, overrides, with_status
 from saltcourse.gossip.messages import (
-    Header, MemberChanged, MemberId, MemberRecord, Status, StatusUpdate, Update, ZoneReachability, ZoneSum,
+    Header,
+    MemberChanged,
+    MemberId,
+    MemberRecord,
+    Status,
+    StatusUpdate,
+    Update,
+    ZoneReachability,
+    ZoneSum,
 )
 from saltcourse.gossip.own_record import OwnRecord
 from saltcourse.gossip.settings import Timing
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -32,14 +32,24 @@
 FIGURE = re.compile(rf"\b{NUMBER}(?:(?: to |, ){NUMBER})*")  # a range or a list counts as one
 CODE_OR_TARGET = re.compile(r"`[^`]*`|\]\([^)]*\)|<!--.*?-->")
 SPREAD = (0.9, 1.0, 1.1)
-SCALE_KEYS = ("control_bytes_per_s_max", "control_cpu_share_max", "control_memory_mb_max",
-              "change_everywhere_s_p99", "change_everywhere_s_max", "after_cut_agree_s_max")
+SCALE_KEYS = (
+    "control_bytes_per_s_max",
+    "control_cpu_share_max",
+    "control_memory_mb_max",
+    "change_everywhere_s_p99",
+    "change_everywhere_s_max",
+    "after_cut_agree_s_max",
+)
 
 
 def straight(sizes: tuple[int, ...], intercept: float, slope: float) -> dict[str, Any]:
     """A kept cost whose repetitions differ by a tenth in their slope."""
-    return {"unit": "ms", "per": "thing", "sizes": list(sizes),
-            "values": [[intercept + factor * slope * size for size in sizes] for factor in SPREAD]}
+    return {
+        "unit": "ms",
+        "per": "thing",
+        "sizes": list(sizes),
+        "values": [[intercept + factor * slope * size for size in sizes] for factor in SPREAD],
+    }
 
 
 def kept(**slopes: dict[str, Any]) -> Measurements:
@@ -49,8 +59,12 @@
 def mesh_of(messages: float) -> Measurements:
     fleet, crowds = (20, 40, 80), (1, 2, 4)
     more = straight(crowds, 0, 39 * 2.75)
-    return kept(mesh_sent=straight(fleet, 0, 0.25), mesh_sent_crowd=more,
-                mesh_messages=straight(fleet, 0, messages), mesh_messages_crowd=more)
+    return kept(
+        mesh_sent=straight(fleet, 0, 0.25),
+        mesh_sent_crowd=more,
+        mesh_messages=straight(fleet, 0, messages),
+        mesh_messages_crowd=more,
+    )
 
 
 def near(found: Range, low: float, high: float) -> bool:
@@ -73,10 +87,20 @@
     assert Range.over([-0.1, 0.2]) == Range(0.0, 0.2)
 
 
-@pytest.mark.parametrize(("value", "text"), [
-    (0.0, "0"), (0.04237, "0.0424"), (1.0, "1"), (12.345, "12.3"), (999.4, "999"), (999.9, "1,000"),
-    (89_796.0, "89,800"), (100.0, "100"), (math.inf, "no bound"),
-])
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        (0.0, "0"),
+        (0.04237, "0.0424"),
+        (1.0, "1"),
+        (12.345, "12.3"),
+        (999.4, "999"),
+        (999.9, "1,000"),
+        (89_796.0, "89,800"),
+        (100.0, "100"),
+        (math.inf, "no bound"),
+    ],
+)
 def test_figures_have_three_digits(value: float, text: str) -> None:
     assert model.digits(value) == text
 
@@ -202,17 +226,21 @@
 CHANGE = messages.Change(messages.Position(1, 3), (("key/name/abc", bytes(100)),))
 
 
-@pytest.mark.parametrize(("stated", "message"), [
-    (weighing.PING, messages.Ping(1, 2)),
-    (weighing.ACK, messages.Ack(1)),
-    (weighing.GOSSIP, messages.Gossip()),
-    (weighing.SYNC, messages.SyncRequest(0, tuple(range(messages.SYNC_BUCKETS)))),
-    (weighing.SYNC_REPLY, messages.SyncReply((), False)),
-    (weighing.FETCH, messages.Fetch(messages.Position(1, 2))),
-    (weighing.TALLY, messages.Tally("zone-a", 8, 720_000)),
-    (weighing.QUORUM_MESSAGE, messages.Accepted(1, messages.Position(1, 3))),
-    (weighing.CHANGE_OVERHEAD + 100, messages.Changes((CHANGE,))),
-], ids=lambda value: type(value).__name__)
+@pytest.mark.parametrize(
+    ("stated", "message"),
+    [
+        (weighing.PING, messages.Ping(1, 2)),
+        (weighing.ACK, messages.Ack(1)),
+        (weighing.GOSSIP, messages.Gossip()),
+        (weighing.SYNC, messages.SyncRequest(0, tuple(range(messages.SYNC_BUCKETS)))),
+        (weighing.SYNC_REPLY, messages.SyncReply((), False)),
+        (weighing.FETCH, messages.Fetch(messages.Position(1, 2))),
+        (weighing.TALLY, messages.Tally("zone-a", 8, 720_000)),
+        (weighing.QUORUM_MESSAGE, messages.Accepted(1, messages.Position(1, 3))),
+        (weighing.CHANGE_OVERHEAD + 100, messages.Changes((CHANGE,))),
+    ],
+    ids=lambda value: type(value).__name__,
+)
 def test_stated_message_sizes_are_those_of_the_codec(stated: int, message: messages.Message) -> None:
     assert stated == pytest.approx(encoded(message), abs=2)
 
@@ -299,8 +327,11 @@
     for cell in text.strip("|").split("|"):
         figures = list(FIGURE.finditer(cell))
         starts = [figure.start() for figure in figures] + [len(cell)]
-        found += [figure[0] for figure, end in zip(figures, starts[1:], strict=True)
-                  if not MARK.search(cell, figure.end(), end)]
+        found += [
+            figure[0]
+            for figure, end in zip(figures, starts[1:], strict=True)
+            if not MARK.search(cell, figure.end(), end)
+        ]
     return found
 
 
--- a/tests/test_gossip_aggregation.py
+++ b/tests/test_gossip_aggregation.py
@@ -11,10 +11,23 @@
 from hypothesis import strategies as st
 
 from saltcourse.gossip.aggregation import (
-    CHILD_INTERVALS, FAN_IN, MAX_COUNT, MAX_ZONES, SUM_LIFETIME, Aggregation,
+    CHILD_INTERVALS,
+    FAN_IN,
+    MAX_COUNT,
+    MAX_ZONES,
+    SUM_LIFETIME,
+    Aggregation,
 )
 from saltcourse.gossip.messages import (
-    Gossip, Header, MemberRecord, Priority, Role, Send, Status, Tally, ZoneSum,
+    Gossip,
+    Header,
+    MemberRecord,
+    Priority,
+    Role,
+    Send,
+    Status,
+    Tally,
+    ZoneSum,
 )
 from saltcourse.gossip.settings import Timing
 
--- a/tests/test_gossip_membership.py
+++ b/tests/test_gossip_membership.py
@@ -27,9 +27,26 @@
 from saltcourse.gossip.member_table import MAX_INCARNATION, MemberTable, overrides
 from saltcourse.gossip.membership import STRANGER_ACKS, STRANGER_PAGES, Membership
 from saltcourse.gossip.messages import (
-    MAX_DATAGRAM_BYTES, SYNC_BUCKETS, Ack, Gossip, Header, MemberChanged, MemberRecord, Nack, Ping,
-    PingRequest, Priority, Role, Send, Status, StatusUpdate, SyncReply, SyncRequest, ZoneReachability,
-    ZoneSum, member_id,
+    MAX_DATAGRAM_BYTES,
+    SYNC_BUCKETS,
+    Ack,
+    Gossip,
+    Header,
+    MemberChanged,
+    MemberRecord,
+    Nack,
+    Ping,
+    PingRequest,
+    Priority,
+    Role,
+    Send,
+    Status,
+    StatusUpdate,
+    SyncReply,
+    SyncRequest,
+    ZoneReachability,
+    ZoneSum,
+    member_id,
 )
 from saltcourse.gossip.settings import Timing
 from saltcourse.gossip.suspicion import SuspicionTimers
@@ -41,7 +58,11 @@
 
 
 def record_of(
-    number: int, zone: str = "a", region: str = "r", incarnation: int = 0, status: Status = ALIVE,
+    number: int,
+    zone: str = "a",
+    region: str = "r",
+    incarnation: int = 0,
+    status: Status = ALIVE,
     process: int = 1,
 ) -> MemberRecord:
     address = (f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 7000)
@@ -132,7 +153,11 @@
     """Membership objects on a network in virtual time."""
 
     def __init__(
-        self, seed: int, delay: tuple[float, float] = (0.001, 0.03), loss: float = 0.0, double: float = 0.0,
+        self,
+        seed: int,
+        delay: tuple[float, float] = (0.001, 0.03),
+        loss: float = 0.0,
+        double: float = 0.0,
         through_codec: bool = False,
     ):
         self.random = random.Random(seed)
@@ -240,8 +265,11 @@
         running = self.running()
         wanted = {host.membership.me.id: host.membership.me for host in running}
         for host in running:
-            held = {member: entry.record for member, entry in host.membership.members.items()
-                    if entry.status in (ALIVE, SUSPECT)}
+            held = {
+                member: entry.record
+                for member, entry in host.membership.members.items()
+                if entry.status in (ALIVE, SUSPECT)
+            }
             if held != wanted:
                 return False
         return True
@@ -275,20 +303,23 @@
 # ---- order of precedence ----------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("new, held, wins", [
-    ((1, SUSPECT), (1, ALIVE), True),
-    ((1, DEAD), (1, SUSPECT), True),
-    ((1, LEFT), (1, DEAD), True),
-    ((1, ALIVE), (1, SUSPECT), False),
-    ((1, ALIVE), (1, ALIVE), False),
-    ((1, SUSPECT), (1, DEAD), False),
-    ((1, DEAD), (1, LEFT), False),
-    ((2, ALIVE), (1, SUSPECT), True),
-    ((2, ALIVE), (1, DEAD), True),
-    ((2, ALIVE), (1, LEFT), True),
-    ((1, LEFT), (2, ALIVE), False),
-    ((2, SUSPECT), (1, DEAD), True),
-])
+@pytest.mark.parametrize(
+    "new, held, wins",
+    [
+        ((1, SUSPECT), (1, ALIVE), True),
+        ((1, DEAD), (1, SUSPECT), True),
+        ((1, LEFT), (1, DEAD), True),
+        ((1, ALIVE), (1, SUSPECT), False),
+        ((1, ALIVE), (1, ALIVE), False),
+        ((1, SUSPECT), (1, DEAD), False),
+        ((1, DEAD), (1, LEFT), False),
+        ((2, ALIVE), (1, SUSPECT), True),
+        ((2, ALIVE), (1, DEAD), True),
+        ((2, ALIVE), (1, LEFT), True),
+        ((1, LEFT), (2, ALIVE), False),
+        ((2, SUSPECT), (1, DEAD), True),
+    ],
+)
 def test_precedence_of_records(new: tuple[int, Status], held: tuple[int, Status], wins: bool) -> None:
     one = record_of(1, incarnation=new[0], status=new[1])
     other = record_of(1, incarnation=held[0], status=held[1])
@@ -396,8 +427,11 @@
     sends = lone.receive(asker, request)
     ping = next(send.message for send in pings(sends) if send.destination == target.address)
     assert ping.target == target.id and ping.sequence != 77
-    nacks = [send for send in lone.run(NACK_FRACTION * TIMING.probe_timeout + 0.001, answering(asker))
-             if isinstance(send.message, Nack)]
+    nacks = [
+        send
+        for send in lone.run(NACK_FRACTION * TIMING.probe_timeout + 0.001, answering(asker))
+        if isinstance(send.message, Nack)
+    ]
     assert [(send.destination, send.message.sequence) for send in nacks] == [(asker.address, 77)]
     late = lone.receive(target, Ack(ping.sequence))
     assert Send(asker.address, Ack(77)) in late
@@ -418,7 +452,7 @@
     others = [record_of(number, f"z{number}") for number in range(1, 11)]
     lone = Lone(*others)
     targets = [send.message.target for send in pings(lone.run(31.0, answering(*others)))]
-    rounds = [targets[start:start + 10] for start in (0, 10, 20)]
+    rounds = [targets[start : start + 10] for start in (0, 10, 20)]
     for order in rounds:
         assert sorted(order) == sorted(record.id for record in others)
     assert rounds[0] != rounds[1] != rounds[2]
@@ -646,10 +680,19 @@
     assert lone.membership.members[other.id].record.incarnation == MAX_INCARNATION
 
 
-@pytest.mark.parametrize("wrong", [
-    {"name": ""}, {"name": "n" * 65}, {"zone": ""}, {"zone": "z" * 17}, {"region": ""},
-    {"address": ("10.0.0.1", 0)}, {"address": ("", 7000)}, {"incarnation": 2**32},
-])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"name": ""},
+        {"name": "n" * 65},
+        {"zone": ""},
+        {"zone": "z" * 17},
+        {"region": ""},
+        {"address": ("10.0.0.1", 0)},
+        {"address": ("", 7000)},
+        {"incarnation": 2**32},
+    ],
+)
 def test_records_that_cannot_be_members_are_refused(wrong: dict[str, Any]) -> None:
     lone = Lone(record_of(1))
     lone.receive(record_of(1), Gossip((replace(record_of(2), **wrong),)))
@@ -717,12 +760,19 @@
 NUMBERS = st.integers(0, 6)
 INCARNATIONS = st.sampled_from([0, 1, 2, 3, MAX_INCARNATION - 1, MAX_INCARNATION])
 RECORDS = st.builds(
-    record_of, NUMBERS, st.sampled_from(["a", "b", ""]), st.just("r"), INCARNATIONS, STATUSES,
+    record_of,
+    NUMBERS,
+    st.sampled_from(["a", "b", ""]),
+    st.just("r"),
+    INCARNATIONS,
+    STATUSES,
     st.sampled_from([1, 2]),
 ) | st.builds(lambda record: replace(record, name=""), st.builds(record_of, NUMBERS))
 UPDATES = st.tuples() | st.lists(
-    RECORDS | st.builds(StatusUpdate, NUMBERS.map(lambda n: record_of(n).id), INCARNATIONS, STATUSES)
-    | st.builds(ZoneSum, st.sampled_from(["a", ""]), INCARNATIONS, NUMBERS, NUMBERS), max_size=4,
+    RECORDS
+    | st.builds(StatusUpdate, NUMBERS.map(lambda n: record_of(n).id), INCARNATIONS, STATUSES)
+    | st.builds(ZoneSum, st.sampled_from(["a", ""]), INCARNATIONS, NUMBERS, NUMBERS),
+    max_size=4,
 ).map(tuple)
 SEQUENCES = st.integers(0, 2**32 - 1)
 TARGETS = NUMBERS.map(lambda n: record_of(n).id)
@@ -730,7 +780,8 @@
     st.builds(Ping, SEQUENCES, TARGETS, UPDATES)
     | st.builds(Ack, SEQUENCES, UPDATES)
     | st.builds(Nack, SEQUENCES)
-    | st.builds(PingRequest, SEQUENCES, TARGETS, UPDATES) | st.builds(Gossip, UPDATES)
+    | st.builds(PingRequest, SEQUENCES, TARGETS, UPDATES)
+    | st.builds(Gossip, UPDATES)
     | st.builds(SyncRequest, st.integers(0, 2**64 - 1), st.just(()) | st.just(tuple(range(SYNC_BUCKETS))))
     | st.builds(SyncReply, st.lists(RECORDS, max_size=4).map(tuple), st.booleans())
 )
@@ -866,8 +917,11 @@
     fleet.run(15.0)
     found = {(type(send.message), send.priority) for _, _, send in fleet.log}
     assert found == {
-        (Ping, Priority.PROBE), (Ack, Priority.PROBE), (Gossip, Priority.MEMBERSHIP),
-        (SyncRequest, Priority.BULK), (SyncReply, Priority.BULK),
+        (Ping, Priority.PROBE),
+        (Ack, Priority.PROBE),
+        (Gossip, Priority.MEMBERSHIP),
+        (SyncRequest, Priority.BULK),
+        (SyncReply, Priority.BULK),
     }
 
 
@@ -1192,8 +1246,11 @@
     tries = [send for send in lone.run(100.0, answering(*others[:3])) if send.destination in addresses]
     assert 45 <= len(tries) <= 51
     assert len({send.destination for send in tries}) > 10
-    assert all(isinstance(update, MemberRecord) and update.status is DEAD
-               for send in tries for update in send.message.updates[:1])
+    assert all(
+        isinstance(update, MemberRecord) and update.status is DEAD
+        for send in tries
+        for update in send.message.updates[:1]
+    )
 
 
 def test_a_cut_between_two_regions_is_bridged_by_a_third() -> None:
--- a/tests/test_gossip_quorum.py
+++ b/tests/test_gossip_quorum.py
@@ -15,9 +15,26 @@
 from saltcourse.gossip.acceptor import MAX_ACCEPTED, Acceptor
 from saltcourse.gossip.codec import Codec, encode_configuration
 from saltcourse.gossip.messages import (
-    MAX_CONFIGURATION_BYTES, Accepted, AcceptedChange, Change, Header, Heartbeat, LeaseGrant, LeaseRequest,
-    Persist, Position, Prepare, Promise, Propose, Publish, Published, PublishError, PublishFailed, Refused,
-    ReplicaState, Send,
+    MAX_CONFIGURATION_BYTES,
+    Accepted,
+    AcceptedChange,
+    Change,
+    Header,
+    Heartbeat,
+    LeaseGrant,
+    LeaseRequest,
+    Persist,
+    Position,
+    Prepare,
+    Promise,
+    Propose,
+    Publish,
+    Published,
+    PublishError,
+    PublishFailed,
+    Refused,
+    ReplicaState,
+    Send,
 )
 from saltcourse.gossip.publish_queue import MAX_PENDING
 from saltcourse.gossip.quorum import WINDOW, Beat, Commit, Phase, Quorum, QuorumAction
@@ -35,8 +52,9 @@
 class ForgetsPromise(Quorum):
     """Over a restart."""
 
-    def __init__(self, me: Voter, voters: tuple[Voter, ...], timing: Timing, source: random.Random,
-                 state: ReplicaState) -> None:
+    def __init__(
+        self, me: Voter, voters: tuple[Voter, ...], timing: Timing, source: random.Random, state: ReplicaState
+    ) -> None:
         super().__init__(me, voters, timing, source, replace(state, promised=0))
 
 
@@ -73,8 +91,9 @@
 class AcceptsBehindGap(Quorum):
     """Acknowledges a version without those before it."""
 
-    def __init__(self, me: Voter, voters: tuple[Voter, ...], timing: Timing, source: random.Random,
-                 state: ReplicaState) -> None:
+    def __init__(
+        self, me: Voter, voters: tuple[Voter, ...], timing: Timing, source: random.Random, state: ReplicaState
+    ) -> None:
         super().__init__(me, voters, timing, source, state)
         self.acceptor = GapAcceptor(state)
 
@@ -127,8 +146,18 @@
         return [newest[version].change for version in sorted(newest) if version > committed.version]
 
 
-BROKEN = [ForgetsPromise, IgnoresAccepted, MajorityOneShort, AcceptsOlderEpoch, PersistsAfterSend,
-          AcceptsBehindGap, TakesPartOfPromise, RecoversOldest, MovesRecovered, KeepsFallingEpochs]
+BROKEN = [
+    ForgetsPromise,
+    IgnoresAccepted,
+    MajorityOneShort,
+    AcceptsOlderEpoch,
+    PersistsAfterSend,
+    AcceptsBehindGap,
+    TakesPartOfPromise,
+    RecoversOldest,
+    MovesRecovered,
+    KeepsFallingEpochs,
+]
 
 
 def test_no_schedule_of_faults_breaks_a_property() -> None:
@@ -151,8 +180,9 @@
 # ---- voters on a sound network ----------------------------------------------------------------------
 
 
-def world(count: int = 5, link: Link | None = None,
-          link_between: Callable[[str, str], Link] | None = None) -> World:
+def world(
+    count: int = 5, link: Link | None = None, link_between: Callable[[str, str], Link] | None = None
+) -> World:
     found = World(1, count, link or Link(), link_between=link_between)
     for name in found.names:
         found.start(name)
@@ -349,8 +379,11 @@
     core = quorum(index=1, state=ReplicaState(promised=9))
     core.observe(0.1, Position(11, 0), Heartbeat(12, 5))
     actions = core.publish(0.2, Publish(1, WRITES))
-    assert actions == [Persist(ReplicaState(promised=13)),
-                       Send(VOTERS[0].address, Prepare(13)), Send(VOTERS[2].address, Prepare(13))]
+    assert actions == [
+        Persist(ReplicaState(promised=13)),
+        Send(VOTERS[0].address, Prepare(13)),
+        Send(VOTERS[2].address, Prepare(13)),
+    ]
 
 
 def test_messages_under_an_epoch_of_another_voter_and_of_strangers_are_passed_over() -> None:
@@ -365,7 +398,9 @@
 def test_a_promise_is_persisted_ahead_of_its_answer_and_keeps_older_epochs_out() -> None:
     core = quorum()
     assert hand(core, 2, Prepare(5)) == [
-        Persist(ReplicaState(promised=5)), Send(VOTERS[2].address, Promise(5, Position(), 0))]
+        Persist(ReplicaState(promised=5)),
+        Send(VOTERS[2].address, Promise(5, Position(), 0)),
+    ]
     assert hand(core, 2, Prepare(5)) == [Send(VOTERS[2].address, Promise(5, Position(), 0))]
     for message in (Prepare(4), Propose(4, change(4, 1)), LeaseRequest(4, 1)):
         assert hand(core, 1, message) == [Send(VOTERS[1].address, Refused(5))]
@@ -421,8 +456,9 @@
         core.publish(0.1, Publish(token, WRITES))
     actions = hand(core, 1, Promise(3, Position(), 0))
     assert len([m for m in messages(actions) if isinstance(m, Propose)]) == 2 * WINDOW
-    committed = [a.change.position.version for a in hand(core, 1, Accepted(3, Position(3, 2)))
-                 if isinstance(a, Commit)]
+    committed = [
+        a.change.position.version for a in hand(core, 1, Accepted(3, Position(3, 2))) if isinstance(a, Commit)
+    ]
     assert committed == [1, 2]
     assert messages(core.applied(0.2, Position(3, 1), {})) == []  # not before both are applied
     proposed = messages(core.applied(0.2, Position(3, 2), {}))
@@ -443,8 +479,11 @@
     core.publish(0.1, Publish(1, WRITES))
     first, second = change(2, 1), change(2, 2)
     assert messages(hand(core, 1, Promise(3, Position(), 2, AcceptedChange(2, second)))) == []
-    proposed = [m.change for m in messages(hand(core, 1, Promise(3, Position(), 2, AcceptedChange(2, first))))
-                if isinstance(m, Propose)]
+    proposed = [
+        m.change
+        for m in messages(hand(core, 1, Promise(3, Position(), 2, AcceptedChange(2, first))))
+        if isinstance(m, Propose)
+    ]
     assert proposed[::2] == [first, second, Change(Position(3, 3), WRITES)]
 
 
@@ -521,7 +560,8 @@
 def test_what_is_too_large_or_too_much_is_refused_at_once() -> None:
     core = quorum()
     assert core.publish(0.1, Publish(1, (("key", bytes(1_000)),))) == [
-        PublishFailed(1, PublishError.TOO_LARGE)]
+        PublishFailed(1, PublishError.TOO_LARGE)
+    ]
     for token in range(MAX_PENDING):
         assert not any(isinstance(a, PublishFailed) for a in core.publish(0.1, Publish(token, WRITES)))
     assert core.publish(0.1, Publish(99, WRITES)) == [PublishFailed(99, PublishError.BUSY)]
@@ -533,8 +573,10 @@
     largest = Change(Position(2**32 - 1, 2**32 - 1), writes)
     codec = Codec(b"key")
     header = Header(VOTERS[0].id, 0, 0)
-    for message in (Propose(2**32 - 1, largest),
-                    Promise(2**32 - 1, Position(), 64, AcceptedChange(2**32 - 1, largest))):
+    for message in (
+        Propose(2**32 - 1, largest),
+        Promise(2**32 - 1, Position(), 64, AcceptedChange(2**32 - 1, largest)),
+    ):
         assert codec.decode(codec.encode(header, message)) == (header, message)
 
 
@@ -544,7 +586,8 @@
     core = Quorum(VOTERS[0], VOTERS[:1], Timing(), random.Random(1), state)
     core.start(0.0)
     assert core.publish(0.1, Publish(1, (("more", bytes(100)),))) == [
-        PublishFailed(1, PublishError.TOO_LARGE)]
+        PublishFailed(1, PublishError.TOO_LARGE)
+    ]
     assert Published(2, Position(2, 289)) in core.publish(0.1, Publish(2, (("key0000", None),)))
     core.applied(0.1, Position(2, 289), dict(full[1:]))
     assert Published(3, Position(2, 290)) in core.publish(0.1, Publish(3, (("more", bytes(100)),)))
--- a/tests/test_gossip_store.py
+++ b/tests/test_gossip_store.py
@@ -67,18 +67,25 @@
 WRITES = st.lists(st.tuples(KEYS, st.none() | VALUES), max_size=3).map(tuple)
 NUMBERS = st.integers(0, 2**32 - 1)
 POSITIONS = st.builds(Position, NUMBERS, NUMBERS)
-ENTRIES = st.lists(st.builds(AcceptedChange, NUMBERS, st.builds(Change, POSITIONS, WRITES)), max_size=4,
-                   unique_by=lambda found: found.change.position.version)
+ENTRIES = st.lists(
+    st.builds(AcceptedChange, NUMBERS, st.builds(Change, POSITIONS, WRITES)),
+    max_size=4,
+    unique_by=lambda found: found.change.position.version,
+)
 STATES = st.builds(
-    ReplicaState, NUMBERS, POSITIONS,
+    ReplicaState,
+    NUMBERS,
+    POSITIONS,
     st.dictionaries(KEYS, VALUES).map(lambda items: tuple(sorted(items.items()))),
-    ENTRIES.map(lambda found: tuple(sorted(found, key=lambda one: one.change.position.version))))
+    ENTRIES.map(lambda found: tuple(sorted(found, key=lambda one: one.change.position.version))),
+)
 
 
 @settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
 @given(st.lists(st.tuples(STATES, st.booleans()), min_size=1, max_size=5))
 def test_the_last_state_is_there_after_any_saves_and_restarts(
-        tmp_path: Path, saves: list[tuple[ReplicaState, bool]]) -> None:
+    tmp_path: Path, saves: list[tuple[ReplicaState, bool]]
+) -> None:
     file = tmp_path / "replica"
     file.unlink(missing_ok=True)
     store = ReplicaStore(file, "v0")
@@ -98,8 +105,11 @@
     store.save(STATE)
     store.close()
     whole = file.read_bytes()
-    for torn in (whole[:len(whole) // 2], b"not a database at all" * 300,
-                 whole[:4096] + b"\0" * (len(whole) - 4096)):
+    for torn in (
+        whole[: len(whole) // 2],
+        b"not a database at all" * 300,
+        whole[:4096] + b"\0" * (len(whole) - 4096),
+    ):
         file.write_bytes(torn)
         with pytest.raises(StoreError, match=str(file)):
             reopened(file)
@@ -113,16 +123,19 @@
         ReplicaStore(tmp_path / "nowhere" / "replica", "v0")
 
 
-@pytest.mark.parametrize("statement", [
-    "UPDATE replica SET promised = 6",
-    "UPDATE replica SET version = 3",
-    "UPDATE configuration SET value = x'32' WHERE key = 'a'",
-    "DELETE FROM configuration WHERE key = 'b'",
-    "UPDATE accepted SET accepted_epoch = 5 WHERE version = 3",
-    "DELETE FROM accepted WHERE version = 4",
-    "UPDATE accepted_write SET value = NULL WHERE version = 3 AND number = 1",
-    "DELETE FROM accepted_write WHERE version = 4",
-])
+@pytest.mark.parametrize(
+    "statement",
+    [
+        "UPDATE replica SET promised = 6",
+        "UPDATE replica SET version = 3",
+        "UPDATE configuration SET value = x'32' WHERE key = 'a'",
+        "DELETE FROM configuration WHERE key = 'b'",
+        "UPDATE accepted SET accepted_epoch = 5 WHERE version = 3",
+        "DELETE FROM accepted WHERE version = 4",
+        "UPDATE accepted_write SET value = NULL WHERE version = 3 AND number = 1",
+        "DELETE FROM accepted_write WHERE version = 4",
+    ],
+)
 def test_a_row_that_was_changed_by_another_hand_is_found_out(tmp_path: Path, statement: str) -> None:
     file = tmp_path / "replica"
     store = ReplicaStore(file, "v0")
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -72,7 +72,7 @@
         if isinstance(node, ast.Import):
             names |= {alias.name for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
-            above = package[:len(package) - node.level + 1] if node.level else []
+            above = package[: len(package) - node.level + 1] if node.level else []
             origin = ".".join([*above, *([node.module] if node.module else [])])
             names |= {f"{origin}.{alias.name}" for alias in node.names}
     return names
@@ -103,8 +103,11 @@
             further = set().union(*[reach[target] for target in targets]) - targets
             targets |= further
             grown = grown or bool(further)
-    groups = {frozenset([module, *[other for other in targets if module in reach[other]]])
-              for module, targets in reach.items() if module in targets}
+    groups = {
+        frozenset([module, *[other for other in targets if module in reach[other]]])
+        for module, targets in reach.items()
+        if module in targets
+    }
     return sorted(sorted(group) for group in groups)
 
 
@@ -139,22 +142,44 @@
     assert set(FLOORS) <= set(modules_of(PACKAGE))
 
 
-@pytest.mark.parametrize(("sources", "circle", "up"), [
-    ({"net/a.py": "from saltcourse.net.b import B", "net/b.py": "from saltcourse.net import a"},
-     [["saltcourse.net.a", "saltcourse.net.b"]], []),
-    ({"net/a.py": "import saltcourse.net.b\n",
-      "net/b.py": "if TYPE_CHECKING:\n    from saltcourse.net.c import C",
-      "net/c.py": "def late():\n    from . import a"},
-     [["saltcourse.net.a", "saltcourse.net.b", "saltcourse.net.c"]], []),
-    ({"policy.py": "from saltcourse.net.a import A", "net/a.py": ""},
-     [], ["saltcourse.policy imports saltcourse.net.a"]),
-    ({"net/a.py": "from ..emulator import simnet", "emulator/simnet.py": "import saltcourse.net.b",
-      "net/b.py": "from ..policy import Balancer", "policy.py": "import saltcourse_other.net"},
-     [], ["saltcourse.net.a imports saltcourse.emulator.simnet"]),
-    ({"attic.py": ""}, [], ["saltcourse.attic stands on no floor"]),
-])
-def test_what_breaks_the_rules_is_found(tmp_path: Path, sources: dict[str, str], circle: list[list[str]],
-                                        up: list[str]) -> None:
+@pytest.mark.parametrize(
+    ("sources", "circle", "up"),
+    [
+        (
+            {"net/a.py": "from saltcourse.net.b import B", "net/b.py": "from saltcourse.net import a"},
+            [["saltcourse.net.a", "saltcourse.net.b"]],
+            [],
+        ),
+        (
+            {
+                "net/a.py": "import saltcourse.net.b\n",
+                "net/b.py": "if TYPE_CHECKING:\n    from saltcourse.net.c import C",
+                "net/c.py": "def late():\n    from . import a",
+            },
+            [["saltcourse.net.a", "saltcourse.net.b", "saltcourse.net.c"]],
+            [],
+        ),
+        (
+            {"policy.py": "from saltcourse.net.a import A", "net/a.py": ""},
+            [],
+            ["saltcourse.policy imports saltcourse.net.a"],
+        ),
+        (
+            {
+                "net/a.py": "from ..emulator import simnet",
+                "emulator/simnet.py": "import saltcourse.net.b",
+                "net/b.py": "from ..policy import Balancer",
+                "policy.py": "import saltcourse_other.net",
+            },
+            [],
+            ["saltcourse.net.a imports saltcourse.emulator.simnet"],
+        ),
+        ({"attic.py": ""}, [], ["saltcourse.attic stands on no floor"]),
+    ],
+)
+def test_what_breaks_the_rules_is_found(
+    tmp_path: Path, sources: dict[str, str], circle: list[list[str]], up: list[str]
+) -> None:
     package = tmp_path / "saltcourse"
     empty = {"__init__.py": "", "net/__init__.py": "", "emulator/__init__.py": ""}
     for name, source in (empty | sources).items():
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -17,11 +17,25 @@
 
 ROOT = Path(__file__).parent.parent
 NOT_COPIED = shutil.ignore_patterns(
-    ".git", ".venv*", "build", "found", "logs", "journal", "*.egg-info", "__pycache__", ".*_cache",
-    ".hypothesis")
+    ".git",
+    ".venv*",
+    "build",
+    "found",
+    "logs",
+    "journal",
+    "*.egg-info",
+    "__pycache__",
+    ".*_cache",
+    ".hypothesis",
+)
 EXTRAS = "membership,gossip"  # those that modules of the package need
-NEED_AN_EXTRA = ("saltcourse.schema.", "saltcourse.config.operator", "saltcourse.membership.",
-                 "saltcourse.gossip.", "saltcourse.emulator.scale.scenario_file.")
+NEED_AN_EXTRA = (
+    "saltcourse.schema.",
+    "saltcourse.config.operator",
+    "saltcourse.membership.",
+    "saltcourse.gossip.",
+    "saltcourse.emulator.scale.scenario_file.",
+)
 OF_THE_EXTRAS = "google"  # the package that they need
 NOT_IN_THE_DAEMON = ("matplotlib", "psutil", "hdrh", "rich")  # modules of the extra 'scale'
 LIMIT = 300.0  # s for any one step; the longest fetches packages from the index
@@ -63,8 +77,10 @@
     pass
 print(json.dumps(held_before_imports))
 """
-START_COMMAND = "__import__('importlib.metadata').metadata.entry_points(" \
-                "group='console_scripts', name='saltcourse')['saltcourse'].load()()"
+START_COMMAND = (
+    "__import__('importlib.metadata').metadata.entry_points("
+    "group='console_scripts', name='saltcourse')['saltcourse'].load()()"
+)
 START_MODULE = "__import__('runpy').run_module('saltcourse', run_name='__main__')"
 
 
@@ -77,10 +93,19 @@
 
     def run(self, *command: str) -> str:
         """Standard output of a command of the environment; it has to succeed."""
-        environment = {name: value for name, value in os.environ.items()
-                       if not name.startswith(("PYTHON", "EDGE_", "SALTCOURSE"))}
-        ran = subprocess.run([str(self.folder / "venv" / "bin" / command[0]), *command[1:]], cwd=self.folder,
-                             env=environment, capture_output=True, text=True, timeout=LIMIT)
+        environment = {
+            name: value
+            for name, value in os.environ.items()
+            if not name.startswith(("PYTHON", "EDGE_", "SALTCOURSE"))
+        }
+        ran = subprocess.run(
+            [str(self.folder / "venv" / "bin" / command[0]), *command[1:]],
+            cwd=self.folder,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=LIMIT,
+        )
         assert ran.returncode == 0, f"{command}: exit {ran.returncode}: {ran.stderr}"
         return ran.stdout
 
@@ -92,19 +117,34 @@
 
 
 def pip(*arguments: str) -> None:
-    ran = subprocess.run([sys.executable, "-m", "pip", "--disable-pip-version-check", *arguments],
-                         capture_output=True, text=True, timeout=LIMIT)
+    ran = subprocess.run(
+        [sys.executable, "-m", "pip", "--disable-pip-version-check", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=LIMIT,
+    )
     assert ran.returncode == 0, ran.stderr
 
 
 def install(folder: Path, wheel: Path, extras: str) -> None:
     """The package with its dependencies, in the versions that the checkout is tested with."""
-    pins = [line for name in ("requirements.txt", "requirements-dev.txt")
-            for line in (ROOT / name).read_text().splitlines() if not line.startswith("-")]
+    pins = [
+        line
+        for name in ("requirements.txt", "requirements-dev.txt")
+        for line in (ROOT / name).read_text().splitlines()
+        if not line.startswith("-")
+    ]
     constraints = folder / "constraints.txt"
     constraints.write_text("\n".join(pins))
-    pip("--python", str(folder / "venv" / "bin" / "python"), "install", "-q", "-c", str(constraints),
-        f"{wheel}{extras}")
+    pip(
+        "--python",
+        str(folder / "venv" / "bin" / "python"),
+        "install",
+        "-q",
+        "-c",
+        str(constraints),
+        f"{wheel}{extras}",
+    )
 
 
 @pytest.fixture(scope="module")
@@ -170,7 +210,8 @@
 
 def test_the_daemon_imports_nothing_of_the_lab() -> None:
     script = "import sys, saltcourse.cli, saltcourse.net.lifecycle; print(*sys.modules)"
-    ran = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT,
-                         timeout=LIMIT)
+    ran = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, cwd=ROOT, timeout=LIMIT
+    )
     assert ran.returncode == 0, ran.stderr
     assert not {name.partition(".")[0] for name in ran.stdout.split()} & set(NOT_IN_THE_DAEMON)
