Fleet: typed records, encoded and decoded at the edge; Fleet and Peer split

Need: records were strings whose first character said what they are, cut up wherever they were used; Fleet had functions of 25 lines with several purposes.

Change: messages.py has a frozen dataclass for each record; codec.py alone knows their bytes (one table of formats); names.py has the short names, outbox.py the numbering, replies and history, peer.py what is known of one peer and of a lost one. A table's values are numbers, not encoded text. due and receive are steps with a name. What was unused (the events Heard and Tick, handle) is gone. Bytes, moments of sending and answers are as before: the golden digests are unchanged, and golden texts now say as well what they mean (values taken from the earlier program). The broken cores in test_fleet override the renamed methods; a further property test has every message come as it was sent.

A replica does not digest an entry anew that already has the value that is sent again: the two digests cancel each other out.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -22,7 +22,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from saltcourse.emulator.simnet import Host, Link, Network
-from saltcourse.fleet.core import Fleet, Sends
+from saltcourse.fleet.core import Fleet
+from saltcourse.fleet.outbox import Outgoing
 from saltcourse.fleet.codec import decode
 from saltcourse.interface import FleetTerms, RequestClass, Settings
 
@@ -83,7 +84,7 @@
         self.send(i, self.cores[i].due(self.net.now))
         self.net.at(self.net.now + STEP, partial(self.step, i))
 
-    def send(self, i: int, sends: Sends) -> None:
+    def send(self, i: int, sends: list[Outgoing]) -> None:
         for peer, text in sends:
             for other in range(self.size) if peer is None else [peer]:
                 if other != i:
--- a/saltcourse/fleet/codec.py
+++ b/saltcourse/fleet/codec.py
@@ -1,61 +1,51 @@
-"""What proxies say to each other: a message is text of at most 256 bytes, read whole or not at all.
+"""The bytes of messages: text of at most 256 bytes, which is decoded whole or not at all.
 
     2AbQ0cHk9+srv1grp1-srv2grp2        version, incarnation, sequence, digest, then records
 
-Servers and groups stand as four characters of a hash. Two that share them are taken for one: a hint is then
-wrong, and a hint is all that a message can be. Numbers are digits to the base of 64, the largest first.
+A record is a character for its kind and a body whose length the kind says. Numbers are digits to the base of
+64, the largest first. Rules of this file: any text is a message or a ``BadMessage``; a message that was
+decoded gives the same text again.
 """
 
 from __future__ import annotations
 
-import hashlib
 import re
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
+from typing import Any
+
+from saltcourse.fleet.messages import (
+    ClockReading, Connections, EjectionNotice, LeaseGrant, LeaseRequest, Message, PairHeld, PairReleased,
+    Record, ResendRequest, Reset, Scale, SnapshotRequest,
+)
 
 MAX_BYTES = 256  # of a datagram; a longer one voids a run
 VERSION = "2"
 DIGITS = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_-"  # '-' last: for patterns
 VALUE_OF_DIGIT = {digit: value for value, digit in enumerate(DIGITS)}
-# Characters of each.
+# Digits of each.
 INCARNATION_LENGTH, SEQUENCE_LENGTH, DIGEST_LENGTH = 2, 3, 3
 NAME_LENGTH, NUMBER_LENGTH, CLOCK_LENGTH = 4, 3, 5
+PAIR_LENGTH = 2 * NAME_LENGTH
 HEADER_LENGTH = len(VERSION) + INCARNATION_LENGTH + SEQUENCE_LENGTH + DIGEST_LENGTH
-CLOCK_UNIT = 0.01  # s of one step of a clock on the wire
-# Kinds of records. Of the sender's table: a pair that it holds, one that it released, connections there.
-PAIR_HELD, PAIR_RELEASED, CONNECTIONS = "+", "-", "#"
-RESET, SCALE = "!", "="  # what I sent before is void; my slots in a server's load of 1
-RESEND_REQUEST, SNAPSHOT_REQUEST = "?", "*"  # send what followed this sequence; send the whole table
-LEASE_REQUEST, LEASE_GRANT = "w", "g"  # renew my lease; granted, counted from the request of that number
-CLOCK_READING, EJECTION = "c", "v"  # my clock; I have ejected this server until then, by my clock
-SIZES = {  # characters behind the kind
-    PAIR_HELD: 2 * NAME_LENGTH, PAIR_RELEASED: 2 * NAME_LENGTH, CONNECTIONS: NAME_LENGTH + NUMBER_LENGTH,
-    RESET: 0, SCALE: NUMBER_LENGTH, RESEND_REQUEST: SEQUENCE_LENGTH, SNAPSHOT_REQUEST: 0,
-    LEASE_REQUEST: NUMBER_LENGTH, LEASE_GRANT: NUMBER_LENGTH, CLOCK_READING: CLOCK_LENGTH,
-    EJECTION: NAME_LENGTH + CLOCK_LENGTH,
-}
-RECORD = "|".join(f"{re.escape(kind)}[{DIGITS}]{{{size}}}" for kind, size in SIZES.items())
-RECORDS = re.compile(RECORD)
-MESSAGE = re.compile(f"[{DIGITS}]{{{HEADER_LENGTH - len(VERSION)}}}(?:{RECORD})*")
+# What numbers are taken modulo.
+INCARNATIONS = 1 << 6 * INCARNATION_LENGTH
+SEQUENCES = 1 << 6 * SEQUENCE_LENGTH
+DIGESTS = 1 << 6 * DIGEST_LENGTH
+NUMBERS = 1 << 6 * NUMBER_LENGTH
+CLOCK_MODULUS = 1 << 6 * CLOCK_LENGTH  # units: four months
+SCALE_STEPS = 100  # of one slot
+COUNTS_CACHED = 512  # encoded numbers of connections: the same small ones are encoded again and again
 
 
 class BadMessage(Exception):
     """A peer sent what no proxy of this version sends; the text says what."""
 
 
-@dataclass(frozen=True, slots=True)
-class Message:
-    """``incarnation`` is drawn anew at each start; ``sequence`` grows by one a message; ``digest`` sums up
-    what the sender has announced of its table, this message included. A record is its kind and its body."""
-
-    incarnation: int
-    sequence: int
-    digest: int
-    records: tuple[str, ...]
-
-
-def encode_number(value: int, size: int) -> str:
-    """The last ``size`` digits: what does not fit begins again at 0."""
-    return "".join([DIGITS[value >> shift & 63] for shift in range(6 * size - 6, -1, -6)])
+def encode_number(value: int, length: int) -> str:
+    """The last ``length`` digits: what does not fit begins again at 0."""
+    return "".join([DIGITS[value >> shift & 63] for shift in range(6 * length - 6, -1, -6)])
 
 
 def decode_number(digits: str) -> int:
@@ -65,31 +55,108 @@
     return value
 
 
-def encode_clamped(value: int, size: int) -> str:
-    return encode_number(min(max(0, value), 64**size - 1), size)
+@lru_cache(maxsize=COUNTS_CACHED)
+def encode_count(count: int) -> str:
+    """What does not fit is told as the largest that does."""
+    return encode_number(min(max(0, count), NUMBERS - 1), NUMBER_LENGTH)
+
+
+# ---- records ---------------------------------------------------------------------------------------
+
+@dataclass(frozen=True, slots=True)
+class RecordFormat:
+    """How one type of record is written."""
+
+    kind: str  # one character
+    length: int  # of the body
+    encode: Callable[[Any], str]  # a record's body
+    decode: Callable[[str], Record]  # of the kind and the body
+
+
+def _decode_connections(text: str) -> Connections:
+    # Written out, for these are most of all records: one for each server with each heartbeat.
+    values = VALUE_OF_DIGIT
+    count = values[text[-3]] << 12 | values[text[-2]] << 6 | values[text[-1]]
+    return Connections(text[1:1 + NAME_LENGTH], count)
+
+
+def _encode_connections(record: Connections) -> str:
+    return record.server + encode_count(record.count)
+
+
+def _decode_ejection(text: str) -> EjectionNotice:
+    return EjectionNotice(text[1:1 + NAME_LENGTH], decode_number(text[1 + NAME_LENGTH:]))
+
+
+def _encode_ejection(record: EjectionNotice) -> str:
+    return record.server + encode_number(record.end, CLOCK_LENGTH)
+
+
+FORMATS: dict[type[Record], RecordFormat] = {
+    PairHeld: RecordFormat("+", PAIR_LENGTH, lambda record: record.pair, lambda text: PairHeld(text[1:])),
+    PairReleased: RecordFormat("-", PAIR_LENGTH, lambda record: record.pair,
+                               lambda text: PairReleased(text[1:])),
+    Connections: RecordFormat("#", NAME_LENGTH + NUMBER_LENGTH, _encode_connections, _decode_connections),
+    Reset: RecordFormat("!", 0, lambda record: "", lambda text: Reset()),
+    Scale: RecordFormat("=", NUMBER_LENGTH, lambda record: encode_count(round(SCALE_STEPS * record.slots)),
+                        lambda text: Scale(decode_number(text[1:]) / SCALE_STEPS)),
+    ResendRequest: RecordFormat("?", SEQUENCE_LENGTH,
+                                lambda record: encode_number(record.after, SEQUENCE_LENGTH),
+                                lambda text: ResendRequest(decode_number(text[1:]))),
+    SnapshotRequest: RecordFormat("*", 0, lambda record: "", lambda text: SnapshotRequest()),
+    LeaseRequest: RecordFormat("w", NUMBER_LENGTH, lambda record: encode_number(record.number, NUMBER_LENGTH),
+                               lambda text: LeaseRequest(decode_number(text[1:]))),
+    LeaseGrant: RecordFormat("g", NUMBER_LENGTH, lambda record: encode_number(record.number, NUMBER_LENGTH),
+                             lambda text: LeaseGrant(decode_number(text[1:]))),
+    ClockReading: RecordFormat("c", CLOCK_LENGTH, lambda record: encode_number(record.time, CLOCK_LENGTH),
+                               lambda text: ClockReading(decode_number(text[1:]))),
+    EjectionNotice: RecordFormat("v", NAME_LENGTH + CLOCK_LENGTH, _encode_ejection, _decode_ejection),
+}
+DECODERS = {form.kind: form.decode for form in FORMATS.values()}
+RECORD = "|".join(f"{re.escape(form.kind)}[{DIGITS}]{{{form.length}}}" for form in FORMATS.values())
+RECORDS = re.compile(RECORD)
+MESSAGE = re.compile(f"{VERSION}[{DIGITS}]{{{HEADER_LENGTH - len(VERSION)}}}(?:{RECORD})*")
+
 
+def encode_record(record: Record) -> str:
+    form = FORMATS[type(record)]
+    return form.kind + form.encode(record)
 
-def short_name(identifier: str) -> str:
-    """A server's or a group's short name."""
-    digest = hashlib.blake2b(identifier.encode(), digest_size=NAME_LENGTH).digest()
-    return encode_number(int.from_bytes(digest, "big"), NAME_LENGTH)
 
+# ---- messages --------------------------------------------------------------------------------------
 
 def encode(message: Message) -> str:
     return "".join((VERSION, encode_number(message.incarnation, INCARNATION_LENGTH),
                     encode_number(message.sequence, SEQUENCE_LENGTH),
-                    encode_number(message.digest, DIGEST_LENGTH), *message.records))
+                    encode_number(message.digest, DIGEST_LENGTH),
+                    *[encode_record(record) for record in message.records]))
 
 
 def decode(text: str) -> Message:
+    """Raises BadMessage."""
     if len(text) > MAX_BYTES or len(text) < HEADER_LENGTH:
         raise BadMessage("too long or too short")
     if not text.startswith(VERSION):
         raise BadMessage("another version")
-    at = len(VERSION)
-    if MESSAGE.fullmatch(text, at) is None:
+    if MESSAGE.fullmatch(text) is None:
         raise BadMessage("a character that is no digit, an unknown record, or a part of one")
-    incarnation = decode_number(text[at:at + INCARNATION_LENGTH])
-    sequence = decode_number(text[at + INCARNATION_LENGTH:at + INCARNATION_LENGTH + SEQUENCE_LENGTH])
-    digest = decode_number(text[at + INCARNATION_LENGTH + SEQUENCE_LENGTH:HEADER_LENGTH])
-    return Message(incarnation, sequence, digest, tuple(RECORDS.findall(text, HEADER_LENGTH)))
+    header = decode_number(text[len(VERSION):HEADER_LENGTH])  # three numbers as if they were one
+    rest, digest = divmod(header, DIGESTS)
+    incarnation, sequence = divmod(rest, SEQUENCES)
+    records = [DECODERS[record[0]](record) for record in RECORDS.findall(text, HEADER_LENGTH)]
+    return Message(incarnation, sequence, digest, tuple(records))
+
+
+def split_to_fit(records: Sequence[Record]) -> Iterator[tuple[Record, ...]]:
+    """The records in their order, in parts of which each fits into one message; at least one part."""
+    part: list[Record] = []
+    size = HEADER_LENGTH
+    for record in records:
+        form = FORMATS[type(record)]
+        length = len(form.kind) + form.length
+        if size + length > MAX_BYTES:
+            yield tuple(part)
+            part, size = [], HEADER_LENGTH
+        part.append(record)
+        size += length
+    yield tuple(part)
--- a/saltcourse/fleet/quota.py
+++ b/saltcourse/fleet/quota.py
@@ -18,13 +18,13 @@
 import math
 from dataclasses import dataclass
 
-from saltcourse.fleet.codec import LEASE_GRANT, LEASE_REQUEST, NUMBER_LENGTH, decode_number, encode_number
+from saltcourse.fleet.codec import NUMBERS
+from saltcourse.fleet.messages import LeaseGrant, LeaseRequest
 from saltcourse.interface import FleetTerms
 
 HEARTBEATS_PER_TERM = 4  # lease requests and heartbeats in a term: two in a row may be lost
 MAX_SUCCESSORS = 3  # leased portions of a proxy, at most
 MAX_OPEN_REQUESTS = 8  # of the latest; a grant of an older one is worth little
-REQUEST_NUMBERS = 64**NUMBER_LENGTH
 
 
 class QuotaLeases:
@@ -58,30 +58,33 @@
         inherited = sum([until <= now for until in self.granted_until.values()])
         return (1 + (leased + inherited) / len(self.successors)) / 2 / self.count
 
-    def request(self, now: float) -> list[str]:
+    def request(self, now: float) -> list[LeaseRequest]:
         """A record for all, when it is time for another; those that are no successors pass it over."""
         self._start(now)
         if now < self.requested_at + self.terms.term / HEARTBEATS_PER_TERM:
             return []
         self.requested_at = now
-        self.number = (self.number + 1) % REQUEST_NUMBERS
+        self.number = (self.number + 1) % NUMBERS
         self.open_requests[self.number] = now
         while len(self.open_requests) > MAX_OPEN_REQUESTS:
             del self.open_requests[next(iter(self.open_requests))]
-        return [LEASE_REQUEST + encode_number(self.number, NUMBER_LENGTH)]
+        return [LeaseRequest(self.number)]
 
-    def receive(self, now: float, sender: int, kind: str, body: str) -> list[str]:
+    def grant(self, now: float, sender: int, request: LeaseRequest) -> list[LeaseGrant]:
         """What is to be answered to the sender."""
         self._start(now)
-        if kind == LEASE_REQUEST and sender in self.granted_until:
-            self.granted_until[sender] = max(self.granted_until[sender], now + self._longest_grant())
-            return [LEASE_GRANT + body]
-        if kind == LEASE_GRANT and sender in self.leased_until:
-            requested_at = self.open_requests.get(decode_number(body))
-            if requested_at is not None:
-                end = requested_at + self.terms.term * (1 - self.terms.drift)
-                self.leased_until[sender] = max(self.leased_until[sender], end)
-        return []
+        if sender not in self.granted_until:
+            return []
+        self.granted_until[sender] = max(self.granted_until[sender], now + self._longest_grant())
+        return [LeaseGrant(request.number)]
+
+    def renew(self, now: float, sender: int, grant: LeaseGrant) -> None:
+        """A successor has granted a request of this proxy."""
+        self._start(now)
+        requested_at = self.open_requests.get(grant.number)
+        if requested_at is not None and sender in self.leased_until:
+            end = requested_at + self.terms.term * (1 - self.terms.drift)
+            self.leased_until[sender] = max(self.leased_until[sender], end)
 
 
 @dataclass(slots=True)
--- a/saltcourse/fleet/table.py
+++ b/saltcourse/fleet/table.py
@@ -1,8 +1,9 @@
 """Each proxy's table of what it holds, and replicas of the others': any order of messages fills them alike.
 
-An entry's key is a pair of server and group (its value is empty) or a server (its value is the number of
-connections there). The owner sends changes to all, with a digest of everything announced; a replica with
-another digest has missed a message, asks, and is sent a snapshot. So they agree seconds after the last loss.
+An entry's key is a pair of server and group (its value is ``PAIR_VALUE``) or a server (its value is the
+number of connections there). The owner sends changes to all, with a digest of everything announced; a replica
+with another digest has missed a message, asks, and is sent a snapshot. So they agree seconds after the last
+loss.
 """
 
 from __future__ import annotations
@@ -11,57 +12,76 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from saltcourse.fleet.codec import (
-    CONNECTIONS, DIGEST_LENGTH, NAME_LENGTH, NUMBER_LENGTH, PAIR_HELD, PAIR_RELEASED, RESET, decode_number,
-    encode_clamped,
+from saltcourse.fleet.codec import DIGESTS, NAME_LENGTH, NUMBERS, encode_count
+from saltcourse.fleet.messages import (
+    Connections, EntryKey, EntryRecord, PairHeld, PairReleased, Reset, TableRecord,
 )
 
-DIGESTS = 1 << 6 * DIGEST_LENGTH  # different digests of an entry
 MAX_ENTRIES = 4096  # of one table: what comes from a peer cannot grow this program without bound
+MAX_REMEMBERED = 2 * MAX_ENTRIES  # keys of a replica, also of entries that are gone
+PAIR_VALUE = 0  # of a pair's entry, which says by its presence that the pair is held
+NEVER = -1  # a sequence below that of any message
 
 
-def entry_digest(key: str, value: str) -> int:
+def is_pair(key: EntryKey) -> bool:
+    return len(key) > NAME_LENGTH
+
+
+def entry_digest(key: EntryKey, value: int) -> int:
     """An entry's part of the digest; that is their exclusive or, the same in any order. A checksum would not
     do: those of two servers' pairs with the same two groups cancel each other out."""
-    return int.from_bytes(blake2b((key + value).encode(), digest_size=4).digest(), "big") % DIGESTS
+    text = key if len(key) > NAME_LENGTH else key + encode_count(value)
+    return int.from_bytes(blake2b(text.encode(), digest_size=4).digest(), "big") % DIGESTS
 
 
 @dataclass(slots=True)
 class Replica:
-    """A copy of one peer's table. Each entry is as the newest message that named it says, and a RESET clears
+    """A copy of one peer's table. Each entry is as the newest message that named it says, and a Reset clears
     what older ones said."""
 
-    entries: dict[str, str] = field(default_factory=dict)
-    last_named: dict[str, int] = field(default_factory=dict)  # key -> the newest message that named it
-    reset_sequence: int = -1  # the newest message with a RESET
+    entries: dict[EntryKey, int] = field(default_factory=dict)
+    last_named: dict[EntryKey, int] = field(default_factory=dict)  # -> sequence of the newest that named it
+    reset_sequence: int = NEVER  # of the newest message with a Reset
     digest: int = 0
 
-    def apply(self, sequence: int, kind: str, body: str) -> list[str]:
+    def apply(self, sequence: int, record: TableRecord) -> list[EntryKey]:
         """The keys whose entries may have changed."""
-        if kind == RESET:
-            self.reset_sequence = max(self.reset_sequence, sequence)
-            old = [key for key in self.entries if self.last_named[key] < sequence]
-            return [key for key in old if self._set(key, None, sequence)]
-        key, value = (body[:NAME_LENGTH], body[NAME_LENGTH:]) if kind == CONNECTIONS else (body, "")
-        gone = kind == PAIR_RELEASED or (kind == CONNECTIONS and not decode_number(value))
-        return [key] if self._set(key, None if gone else value, sequence) else []
-
-    def _set(self, key: str, value: str | None, sequence: int) -> bool:
-        if sequence < max(self.reset_sequence, self.last_named.get(key, -1)):
+        if isinstance(record, Reset):
+            return self._reset(sequence)
+        value: int | None
+        if isinstance(record, Connections):
+            key, value = record.server, record.count or None
+        else:
+            key, value = record.pair, PAIR_VALUE if isinstance(record, PairHeld) else None
+        return [key] if self._set(key, value, sequence) else []
+
+    def _reset(self, sequence: int) -> list[EntryKey]:
+        self.reset_sequence = max(self.reset_sequence, sequence)
+        old = [key for key in self.entries if self.last_named[key] < sequence]
+        return [key for key in old if self._set(key, None, sequence)]
+
+    def _set(self, key: EntryKey, value: int | None, sequence: int) -> bool:
+        """Whether the message is new enough, and there is room."""
+        if sequence < self.reset_sequence or sequence < self.last_named.get(key, NEVER):
             return False
         before = self.entries.get(key)
-        if before is None and value is not None and len(self.entries) >= MAX_ENTRIES:
+        if before is None and value is not None and self.is_full():
             return False
         self.last_named[key] = sequence
+        if value != before:
+            self._replace(key, before, value)
+        if len(self.last_named) > MAX_REMEMBERED:  # what is long gone need not be remembered
+            self.last_named = {k: n for k, n in self.last_named.items() if k in self.entries}
+        return True
+
+    def _replace(self, key: EntryKey, before: int | None, after: int | None) -> None:
         if before is not None:
             self.digest ^= entry_digest(key, before)
+        if after is not None:
+            self.digest ^= entry_digest(key, after)
+            self.entries[key] = after
+        else:
             del self.entries[key]
-        if value is not None:
-            self.digest ^= entry_digest(key, value)
-            self.entries[key] = value
-        if len(self.last_named) > 2 * MAX_ENTRIES:  # what is long gone need not be remembered
-            self.last_named = {k: n for k, n in self.last_named.items() if k in self.entries}
-        return True
 
     def is_full(self) -> bool:
         """Then it cannot agree, however often it asks."""
@@ -72,42 +92,52 @@
     """This proxy's own."""
 
     def __init__(self) -> None:
-        self.entries: dict[str, str] = {}
-        self.announced: dict[str, str] = {}  # what peers that missed nothing have
+        self.entries: dict[EntryKey, int] = {}
+        self.announced: dict[EntryKey, int] = {}  # what peers that missed nothing have
         self.digest = 0  # of what has been announced
-        self.changed: set[str] = set()  # keys of which that may differ
+        self.changed: set[EntryKey] = set()  # keys of which that may differ
+
+    def set_pair(self, pair: EntryKey, held: bool) -> None:
+        self._set(pair, PAIR_VALUE if held else None)
 
-    def set(self, key: str, value: str | None) -> None:
+    def set_connections(self, server: EntryKey, connections: int) -> None:
+        self._set(server, min(connections, NUMBERS - 1) if connections > 0 else None)
+
+    def _set(self, key: EntryKey, value: int | None) -> None:
         if value is None:
             self.entries.pop(key, None)
         else:
             self.entries[key] = value
         self.changed.add(key)
 
-    def set_connections(self, server: str, connections: int) -> None:
-        self.set(server, encode_clamped(connections, NUMBER_LENGTH) if connections > 0 else None)
-
-    def pop_changes(self, due: Callable[[str], bool]) -> list[str]:
+    def pop_changes(self, due: Callable[[EntryKey], bool]) -> list[EntryRecord]:
         """Records for all of the changed keys that are ``due``."""
         records = []
-        for key in sorted(k for k in self.changed if due(k)):
+        for key in sorted(key for key in self.changed if due(key)):
             self.changed.discard(key)
             before, after = self.announced.get(key), self.entries.get(key)
-            if before == after:
-                continue
-            if before is not None:
-                self.digest ^= entry_digest(key, self.announced.pop(key))
-            if after is not None:
-                self.digest ^= entry_digest(key, after)
-                self.announced[key] = after
-            records.append(record(key, after))
+            if before != after:
+                self._announce(key, before, after)
+                records.append(_record(key, after))
         return records
 
-    def snapshot(self) -> list[str]:
-        return [RESET, *[record(key, value) for key, value in sorted(self.announced.items())]]
+    def _announce(self, key: EntryKey, before: int | None, after: int | None) -> None:
+        if before is not None:
+            self.digest ^= entry_digest(key, self.announced.pop(key))
+        if after is not None:
+            self.digest ^= entry_digest(key, after)
+            self.announced[key] = after
+
+    def snapshot(self) -> list[TableRecord]:
+        """Records that make a table of what has been announced, whatever it held before."""
+        return [Reset(), *[_record(key, value) for key, value in sorted(self.announced.items())]]
+
+
+def key_of(record: EntryRecord) -> EntryKey:
+    return record.server if isinstance(record, Connections) else record.pair
 
 
-def record(key: str, value: str | None) -> str:
-    if len(key) == NAME_LENGTH:
-        return CONNECTIONS + key + (value or encode_clamped(0, NUMBER_LENGTH))
-    return (PAIR_RELEASED if value is None else PAIR_HELD) + key
+def _record(key: EntryKey, value: int | None) -> EntryRecord:
+    if not is_pair(key):
+        return Connections(key, value or 0)
+    return PairReleased(key) if value is None else PairHeld(key)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,9 +17,14 @@
 from saltcourse import interface as lg
 from saltcourse.config import PeerAddresses
 from saltcourse.emulator.simnet import Host, Link, Network
-from saltcourse.fleet.codec import MAX_BYTES, BadMessage, Message, decode, encode
-from saltcourse.fleet.core import Fleet, Sends
+from saltcourse.fleet.codec import MAX_BYTES, BadMessage, decode, encode
+from saltcourse.fleet.core import Fleet
 from saltcourse.fleet.ejections import Ejections
+from saltcourse.fleet.messages import (
+    ClockReading, Connections, EjectionNotice, LeaseGrant, LeaseRequest, Message, PairHeld, PairReleased,
+    ResendRequest, Reset, Scale, SnapshotRequest,
+)
+from saltcourse.fleet.outbox import Outgoing
 from saltcourse.fleet.quota import QuotaLeases
 from saltcourse.net.peers import PeerLink
 from saltcourse.policy import Sign
@@ -38,13 +43,17 @@
 
 TERMS = lg.FleetTerms(counts=True)
 SILENT = TERMS.term
-RECORDS = st.sampled_from([
-    "+srv1grp1", "-srv1grp1", "#srv1AAB", "!", "?AAC", "*", "=0Ab", "wAAA", "cAAAAA", "vsrv1AAAAB"])
+NUMBER, TIME = st.integers(0, 262143), st.integers(0, 2**30 - 1)
+RECORDS = st.one_of(
+    st.sampled_from([PairHeld("srv1grp1"), PairReleased("srv1grp1"), Reset(), SnapshotRequest()]),
+    st.builds(Connections, st.just("srv1"), NUMBER), st.builds(ResendRequest, NUMBER),
+    st.builds(Scale, NUMBER.map(lambda steps: steps / 100)), st.builds(LeaseRequest, NUMBER),
+    st.builds(LeaseGrant, NUMBER), st.builds(ClockReading, TIME),
+    st.builds(EjectionNotice, st.just("srv1"), TIME))
+MESSAGES = st.builds(Message, st.integers(0, 4095), NUMBER, NUMBER, st.lists(RECORDS, max_size=20).map(tuple))
 
 
-@given(st.text(max_size=300) | st.builds(lambda m, cut: encode(m)[:cut], st.builds(
-    Message, st.integers(0, 4095), st.integers(0, 262143), st.integers(0, 262143),
-    st.lists(RECORDS, max_size=20).map(tuple)), st.integers(0, 250)))
+@given(st.text(max_size=300) | st.builds(lambda m, cut: encode(m)[:cut], MESSAGES, st.integers(0, 250)))
 def test_any_text_is_a_message_or_is_refused(text: str) -> None:
     try:
         message = decode(text)
@@ -53,6 +62,16 @@
     assert encode(message) == text
 
 
+@given(MESSAGES)
+def test_any_message_comes_as_it_was_sent(message: Message) -> None:
+    text = encode(message)
+    if len(text) > MAX_BYTES:
+        with pytest.raises(BadMessage):
+            decode(text)
+    else:
+        assert decode(text) == message
+
+
 @dataclass
 class Held:
     count: int
@@ -120,7 +139,7 @@
             core.eject(server, now + length)
             self.ejections[server] = max(self.ejections.get(server, 0.0), self.net.now + 1.02 * length)
 
-    def _send(self, index: int, sends: Sends) -> None:
+    def _send(self, index: int, sends: list[Outgoing]) -> None:
         for peer, text in sends:
             self.most = max(self.most, len(text))
             for other in range(self.count) if peer is None else [peer]:
@@ -214,9 +233,9 @@
         def _start(self, now: float) -> None:
             self.granted_until = self.granted_until or dict.fromkeys(self.predecessors, now)
 
-        def receive(self, now: float, sender: int, kind: str, body: str) -> list[str]:
+        def renew(self, now: float, sender: int, grant: LeaseGrant) -> None:
             self.open_requests = dict.fromkeys(self.open_requests, now)
-            return super().receive(now, sender, kind, body)
+            super().renew(now, sender, grant)
 
     class Greedy(Fleet):
         def __init__(self, *args: Any) -> None:
@@ -226,7 +245,7 @@
     class Ageless(Ejections):
         """Counts an ejection's time from its coming."""
 
-        def _left(self, now: float, sender: int, theirs: int) -> float:
+        def _remaining(self, now: float, origin: int, end: int) -> float:
             return 1.0
 
     class Late(Fleet):
--- a/tests/test_fleet_golden.py
+++ b/tests/test_fleet_golden.py
@@ -11,8 +11,12 @@
 
 from benchmarks.fleet import Site
 from saltcourse.emulator.simnet import Link
-from saltcourse.fleet.core import Sends
 from saltcourse.fleet.codec import decode, encode
+from saltcourse.fleet.messages import (
+    ClockReading, Connections, EjectionNotice, LeaseGrant, LeaseRequest, Message, PairHeld, PairReleased,
+    ResendRequest, Reset, Scale, SnapshotRequest,
+)
+from saltcourse.fleet.outbox import Outgoing
 from tests.test_fleet import Proxies, trouble
 
 GOLDEN = (  # of a site of 8 proxies within 20 s; the last two by hand
@@ -38,6 +42,18 @@
     assert encode(decode(text)) == text
 
 
+@pytest.mark.parametrize(("text", "message"), [
+    ("2--------cAAAAAv04STAADIA=---wAA-gBAA!*", Message(4095, 262143, 262143, (
+        ClockReading(0), EjectionNotice("04ST", 12800), Scale(2621.43), LeaseRequest(63), LeaseGrant(4096),
+        Reset(), SnapshotRequest()))),
+    ("2gUAB7t3Q?ACA", Message(2068, 123, 187856, (ResendRequest(128),))),
+    ("2tUAB4FWO#0t-DAAC+CVy546-x-eCz85agV", Message(2900, 120, 21902, (
+        Connections("0t-D", 2), PairHeld("CVy546-x"), PairReleased("eCz85agV")))),
+])
+def test_records_mean_what_they_always_meant(text: str, message: Message) -> None:
+    assert decode(text) == message
+
+
 class RecordedSite(Site):
     """A site that sums up what each proxy sends, when, and to whom."""
 
@@ -45,7 +61,7 @@
         self.digest, self.messages = hashlib.blake2b(digest_size=16), 0
         super().__init__(size, counts)
 
-    def send(self, i: int, sends: Sends) -> None:
+    def send(self, i: int, sends: list[Outgoing]) -> None:
         for peer, text in sends:
             self.messages += 1
             self.digest.update(f"{self.net.now:.6f} {i} {peer} {text}\n".encode())
@@ -75,7 +91,7 @@
                    core.held_elsewhere("s2", "g3"), core.may_probe(now, "s3"))
         self.digest.update(repr(answers).encode())
 
-    def _send(self, index: int, sends: Sends) -> None:
+    def _send(self, index: int, sends: list[Outgoing]) -> None:
         for peer, text in sends:
             self.digest.update(f"{self.net.now:.6f} {index} {peer} {text}\n".encode())
         super()._send(index, sends)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -37,6 +37,8 @@
     "saltcourse.signals": WORDS,
     "saltcourse.figures": WORDS,
     "saltcourse.fleet.codec": WORDS,
+    "saltcourse.fleet.messages": WORDS,
+    "saltcourse.fleet.names": WORDS,
     "saltcourse.gossip.messages": WORDS,
     "saltcourse.gossip.settings": WORDS,
     "saltcourse.membership.words": WORDS,
