--- a/benchmarks/slopes_mesh.py
+++ b/benchmarks/slopes_mesh.py
@@ -13,7 +13,8 @@
 from slopes_results import Results, Sizes
 
 from saltcourse import interface as lg
-from saltcourse.fleet.core import Fleet, Sends
+from saltcourse.fleet.core import Fleet
+from saltcourse.fleet.outbox import Outgoing
 
 HOST = "127.0.0.1"
 RESTART_SECONDS = 2.0  # of virtual time, in which a proxy that restarts hears all tables
@@ -47,7 +48,7 @@
         self.send(i, sends)
         super().step(i)
 
-    def send(self, i: int, sends: Sends) -> None:
+    def send(self, i: int, sends: list[Outgoing]) -> None:
         for peer, text in sends:
             if peer is None:
                 self.to_all += len(text)
--- a/saltcourse/emulator/scale/mesh.py
+++ b/saltcourse/emulator/scale/mesh.py
@@ -17,7 +17,8 @@
     StatusObserved,
     view_of,
 )
-from saltcourse.fleet.core import Fleet, Received, Sends, Tick
+from saltcourse.fleet.core import Fleet
+from saltcourse.fleet.outbox import Outgoing
 from saltcourse.gossip.messages import Address, Status, Transmit
 from saltcourse.interface import FleetTerms, RequestClass, Settings
 
@@ -73,13 +74,14 @@
             self._observe_changes(output)
         return output
 
-    def _take(self, now: float, sender: int, datagram: bytes) -> Sends:
-        return self._fleet.handle(now, Received(sender, datagram.decode("ascii")))
+    def _take(self, now: float, sender: int, datagram: bytes) -> list[Outgoing]:
+        self._fleet.receive(now, sender, datagram.decode("ascii"))
+        return self._fleet.due(now)
 
     def tick(self, now: float) -> Output:
         self._play_connections(now)
         self.next_deadline = now + TICK
-        return self._output(self._measured(self._fleet.handle, now, Tick()))
+        return self._output(self._measured(self._fleet.due, now))
 
     def publish(self, now: float, change: int, padding: int) -> Output:
         self._measured(self._fleet.hold, CHANGES_SERVER, str(change), True)
@@ -100,7 +102,7 @@
 
     # ---- what this member sees and sends -------------------------------------------------------------
 
-    def _output(self, sends: Sends) -> Output:
+    def _output(self, sends: list[Outgoing]) -> Output:
         output = Output()
         for peer, text in sends:
             datagram = text.encode()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -43,6 +43,8 @@
     "saltcourse.signals": WORDS,
     "saltcourse.figures": WORDS,
     "saltcourse.fleet.codec": WORDS,
+    "saltcourse.fleet.messages": WORDS,
+    "saltcourse.fleet.names": WORDS,
     "saltcourse.gossip.fields": WORDS,  # the codec of records
     "saltcourse.gossip.messages": WORDS,
     "saltcourse.gossip.settings": WORDS,
