Gossip: zone sums ride on probes; the pace of 0.2 s to three is back for news of members

Cause: with 0.4 s to two members two tests failed: one that leaves was still held alive by somebody after 3 s, and a healed cut of 120 s left one false death. What had cost datagrams in quiet times was the zone sums alone: they kept the queue from being empty. Change: gossip goes out only while news of members waits, at half the pace while 64 updates or more wait; sums go with probes and answers.

--- a/saltcourse/gossip/broadcasts.py
+++ b/saltcourse/gossip/broadcasts.py
@@ -38,10 +38,20 @@
         self._limit = 1  # times that an update is passed on
         self._levels: list[dict[Key, Broadcast]] = [{}]
         self._broadcasts: dict[Key, Broadcast] = {}
+        self._sums = 0  # of the broadcasts
 
     def __len__(self) -> int:
         return len(self._broadcasts)
 
+    @property
+    def has_news_of_members(self) -> bool:
+        """Whether more than zone sums wait, which can wait for the next probe or answer to carry them."""
+        return len(self._broadcasts) > self._sums
+
+    @property
+    def is_busy(self) -> bool:
+        return len(self._broadcasts) >= BUSY_QUEUE
+
     def add(self, key: Key, update: Update) -> None:
         """Replaces an older update of the same member or zone."""
         self._discard(key)
@@ -65,7 +75,7 @@
         """Another member has sent the same. While many updates wait, this counts as passing it on once:
         the more often it comes the fewer there are who lack it (Demers et al. 1987: counter and feedback).
         With few waiting nothing is gained by it, and an objection to a suspicion needs every transmission."""
-        if len(self._broadcasts) < BUSY_QUEUE:
+        if not self.is_busy:
             return
         broadcast = self._broadcasts.get(key)
         if broadcast is None or isinstance(broadcast.update, ZoneSum):
@@ -94,11 +104,13 @@
             self._levels.append({})
         self._levels[broadcast.transmissions][key] = broadcast
         self._broadcasts[key] = broadcast
+        self._sums += isinstance(broadcast.update, ZoneSum)
 
     def _discard(self, key: Key) -> None:
         broadcast = self._broadcasts.pop(key, None)
         if broadcast is not None:
             del self._levels[broadcast.transmissions][key]
+            self._sums -= isinstance(broadcast.update, ZoneSum)
 
     def _drop_one(self) -> None:
         fullest = max(number for number, level in enumerate(self._levels) if level)
--- a/saltcourse/gossip/membership.py
+++ b/saltcourse/gossip/membership.py
@@ -58,6 +58,7 @@
 STRANGER_ACKS = 100.0  # a second, to all senders that are not in the table
 STRANGER_PAGES = 20.0  # a second, of the table to them and asked of them
 LEAVE_FANOUT = 8  # members told at once by one that leaves
+BUSY_PACE = 2.0  # times the gossip interval while many updates wait: each datagram is then full
 
 
 class Membership:
@@ -300,7 +301,7 @@
             self._sync.next_deadline(),
             self._own.next_deadline(),
         )
-        if len(self._queue) and len(self._table.live_ids):
+        if self._queue.has_news_of_members and len(self._table.live_ids):
             deadline = min(deadline, self._gossip_at)
         return deadline
 
@@ -388,9 +389,10 @@
         return self._ping_once([self._random.choice(candidates)])
 
     def _tick_gossip(self, now: float) -> list[Send]:
-        if now < self._gossip_at or len(self._queue) == 0:
+        if now < self._gossip_at or not self._queue.has_news_of_members:
             return []
-        self._gossip_at = now + self._timing.gossip_interval
+        pace = BUSY_PACE if self._queue.is_busy else 1.0
+        self._gossip_at = now + pace * self._timing.gossip_interval
         sends = []
         for record in self.sample(self._timing.gossip_fanout):
             updates = self._queue.take(RECORDS_ROOM_BYTES, self._table.size)
--- a/saltcourse/gossip/settings.py
+++ b/saltcourse/gossip/settings.py
@@ -22,8 +22,8 @@
     probe_timeout: float = 0.4  # for a direct answer, then others are asked; above any round trip
     indirect_probes: int = 3  # members asked to probe for this one
     suspicion_multiplier: float = 4.0  # times log10 of the fleet times the interval: until a suspect is dead
-    gossip_interval: float = 0.4  # between messages of updates alone, while there are any to send
-    gossip_fanout: int = 2  # members that each of them goes to
+    gossip_interval: float = 0.2  # between messages of updates alone, while there are any to send
+    gossip_fanout: int = 3  # members that each of them goes to
     retransmit_multiplier: float = 3.0  # times log10 of the fleet: how often one update is passed on
     sync_interval: float = 10.0  # between comparisons of the member table with a random member
     reconnect_interval: float = 2.0  # between probes of members that are held for dead
--- a/tests/test_gossip_broadcasts.py
+++ b/tests/test_gossip_broadcasts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from saltcourse.gossip.broadcasts import BUSY_QUEUE, BroadcastQueue
-from saltcourse.gossip.messages import Status, StatusUpdate
+from saltcourse.gossip.messages import Status, StatusUpdate, ZoneSum
 
 FLEET = 490
 LIMIT = 9  # ceil(3 * log10(491))
@@ -45,3 +45,17 @@
     for _ in range(LIMIT):
         queue.heard(5, 1, Status.SUSPECT)
     assert len(queue) == BUSY_QUEUE - 1
+
+
+def test_zone_sums_alone_are_no_news_of_members() -> None:
+    queue = BroadcastQueue(3.0)
+    queue.add("zone", ZoneSum("zone", 1, 1, 1))
+    queue.add("zone", ZoneSum("zone", 2, 1, 1))
+    assert len(queue) == 1
+    assert not queue.has_news_of_members
+    queue.add(5, StatusUpdate(5, 1, Status.SUSPECT))
+    assert queue.has_news_of_members
+    for _ in range(LIMIT):
+        queue.take(ROOM, FLEET)
+    assert len(queue) == 0
+    assert not queue.has_news_of_members
