Gossip: what an acceptance says stands at the record

Need: an acknowledgement counts for earlier versions too, which only the acceptor's docstring said. Change: a docstring.

--- a/saltcourse/gossip/messages.py
+++ b/saltcourse/gossip/messages.py
@@ -255,6 +255,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    """The sender has the change at ``position``, and all behind its committed ones up to it, on its disk."""
+
     epoch: int
     position: Position
 
