--- a/review/2/case.py
+++ b/review/2/case.py
@@ -132,8 +132,11 @@
                 f"BROKEN: {len(late)} OPEN lines came to draining push servers more than "
                 f"{DRAIN_GRACE_SECONDS} s after the agents had it, the last {max(late) - self.told_at:.1f} s"
             )
-        self.record.conclude(f"connections cut when their push server left, never sent MOVE: {len(cut)}")
-        return standins.BROKEN if late else standins.HELD
+        if cut:
+            self.record.conclude(
+                f"BROKEN: {len(cut)} clients were cut when their push server left, without MOVE"
+            )
+        return standins.BROKEN if late or cut else standins.HELD
 
 
 async def play(record: Record) -> int:
