--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -28,10 +28,30 @@
 Reader, Writer = asyncio.StreamReader, asyncio.StreamWriter
 
 
+_ports_given: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.create_server((HOST, 0)) as probe:
-        return int(probe.getsockname()[1])
+    """Return a port that is free now, for TCP and UDP, and was not returned before.
+
+    It is below the range from which the system takes the ports of outgoing connections, so that none of these
+    takes it before the process that it is meant for binds it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(15_000, 32_000)
+        if port not in _ports_given and _is_free(port):
+            _ports_given.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as probe:
+                probe.bind((HOST, port))
+    except OSError:
+        return False
+    return True
 
 
 class Record:
@@ -368,7 +388,7 @@
         """Return whether the process says yes within ``seconds``; return at once if it has ended."""
         end = self._record.now() + seconds
         while self._record.now() < end and self.exit_code is None:
-            if await self.is_ready():
+            if await self.is_ready() and self.exit_code is None:
                 return True
             await asyncio.sleep(0.05)
         return False
@@ -393,11 +413,20 @@
 
     def peak_memory_mb(self) -> int:
         """Return the most memory that the running process has had so far, in megabytes; 0 if it has ended."""
+        return round(self._memory_mb("VmHWM:"))
+
+    def anonymous_memory_mb(self) -> float:
+        """Return the running process's memory without mapped files, in megabytes; 0 if it has ended."""
+        return self._memory_mb("RssAnon:")
+
+    def _memory_mb(self, field: str) -> float:
         if self._process is None or self._process.returncode is not None:
-            return 0
-        status = Path(f"/proc/{self._process.pid}/status").read_text()
-        peaks = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
-        return int(peaks[0]) // 1024 if peaks else 0
+            return 0.0
+        with contextlib.suppress(OSError):
+            for line in Path(f"/proc/{self._process.pid}/status").read_text().splitlines():
+                if line.startswith(field):
+                    return int(line.split()[1]) / 1024
+        return 0.0
 
     def log_lines(self) -> list[str]:
         """Return what the process wrote to its log."""
