--- a/saltcourse/proxy/discovery_client.py
+++ b/saltcourse/proxy/discovery_client.py
@@ -5,10 +5,14 @@
     fetch   GET /catalog/members                          the complete list, answered immediately
     watch   GET /catalog/members?after=V&wait_ms=W        changes after version V, a long poll of up to W ms
 
+The address is that of a discovery service for all proxies (mode ``POLLED``), or of an agent on the proxy's
+own machine to which lists are pushed (``PUSHED``).
+
 Rules:
 
 1. A watch makes its next call after each response. A failed call ends the watch, and the balancer orders
-   another one.
+   another one. The first watch of a polled list is ordered by the balancer as well. That of a pushed list
+   begins with the client, because the proxy is expected to know at once what its agent has.
 2. A watch call that times out is not a failure: the complete list is fetched in its place immediately.
 3. A response with a version lower than the known one is late and is dropped. But if its version is also
    lower than the one that was known when its call was made, discovery has restarted, and its complete list
@@ -29,7 +33,11 @@
 
 from saltcourse.balancing.actions import FetchEndpoints, WatchEndpoints
 from saltcourse.balancing.events import EndpointUpdateKind
-from saltcourse.balancing.settings import CHANGE_KNOWN_WITHIN_SECONDS, LIST_CALL_TIMEOUT_SECONDS
+from saltcourse.balancing.settings import (
+    CHANGE_KNOWN_WITHIN_SECONDS,
+    LIST_CALL_TIMEOUT_SECONDS,
+    DiscoveryMode,
+)
 from saltcourse.codec import http
 from saltcourse.codec.endpoint_list import Address, EndpointUpdate, decode_endpoint_update
 from saltcourse.codec.errors import EndpointListError, HttpResponseError
@@ -50,6 +58,10 @@
 # is pending. The proxy is expected to know a change within CHANGE_KNOWN_WITHIN_SECONDS, so by then the watch
 # must have timed out, and discovery must have processed the fetch that replaces it.
 WATCH_WAIT_SECONDS = CHANGE_KNOWN_WITHIN_SECONDS - WATCH_SLACK_SECONDS - LIST_CALL_TIMEOUT_SECONDS / 2
+# The same times for an agent, which answers at once and without cost. What it has counts as known, and no
+# request may be sent to a draining backend more than 3 s later, so a silent call is replaced well before.
+AGENT_WATCH_WAIT_SECONDS = 1.5
+AGENT_LIST_CALL_TIMEOUT_SECONDS = 1.0
 # Delay before the next watch call after an immediate response without changes. Discovery treats a call
 # within 0.2 s as a continuation of the same watch.
 MIN_WATCH_INTERVAL_SECONDS = 0.1
@@ -75,10 +87,15 @@
     """
 
     def __init__(
-        self, address: Address, version: int, on_endpoints: Callable[[EndpointsReceived], None]
+        self,
+        address: Address,
+        mode: DiscoveryMode,
+        version: int,
+        on_endpoints: Callable[[EndpointsReceived], None],
     ) -> None:
         super().__init__("discovery client")
         self._address = address
+        self._is_pushed = mode is DiscoveryMode.PUSHED
         self._version = version  # the known version of the endpoint list
         self._on_endpoints = on_endpoints
         self._is_watching = False
@@ -86,6 +103,8 @@
 
     async def run(self) -> None:
         """Process the balancer's orders and address changes until cancelled."""
+        if self._is_pushed:
+            self._begin_watch()
         while True:
             message = await self.mailbox.get()
             match message:
@@ -99,8 +118,11 @@
                     no_changes = EndpointUpdate(self._version, False, (), {})
                     self._on_endpoints(EndpointsReceived(EndpointUpdateKind.DELTA, no_changes))
                 case WatchEndpoints():
-                    self._is_watching = True
-                    self._begin(self._watch(), "endpoint list watch")
+                    self._begin_watch()
+
+    def _begin_watch(self) -> None:
+        self._is_watching = True
+        self._begin(self._watch(), "endpoint list watch")
 
     def _begin(self, call: Coroutine[Any, Any, None], name: str) -> None:
         task = spawn(call, name)
@@ -120,7 +142,7 @@
         timeout = FIRST_CALL_TIMEOUT_SECONDS
         while True:
             try:
-                update = await self._call(LIST_PATH, min(timeout, LIST_CALL_TIMEOUT_SECONDS))
+                update = await self._call(LIST_PATH, min(timeout, self._list_call_timeout))
                 break
             except DiscoveryError:
                 timeout *= 2
@@ -131,7 +153,7 @@
     async def _fetch(self) -> None:
         version_at_call = self._version
         try:
-            self._publish(await self._call(LIST_PATH), version_at_call)
+            self._publish(await self._call(LIST_PATH, self._list_call_timeout), version_at_call)
         except DiscoveryError:
             self._on_endpoints(EndpointsReceived(EndpointUpdateKind.UNAVAILABLE))
 
@@ -141,7 +163,10 @@
         while True:
             started, version_at_call = loop.time(), self._version
             try:
-                update = await (self._call(LIST_PATH) if timed_out else self._call_watch(version_at_call))
+                if timed_out:
+                    update = await self._call(LIST_PATH, self._list_call_timeout)
+                else:
+                    update = await self._call_watch(version_at_call)
             except DiscoveryTimeoutError:
                 timed_out = True
                 continue
@@ -175,10 +200,15 @@
         self._on_endpoints(EndpointsReceived(kind, update))
 
     async def _call_watch(self, version: int) -> EndpointUpdate:
-        target = f"{LIST_PATH}?after={version}&wait_ms={round(WATCH_WAIT_SECONDS * 1000)}"
-        return await self._call(target, WATCH_WAIT_SECONDS + WATCH_SLACK_SECONDS)
+        wait = AGENT_WATCH_WAIT_SECONDS if self._is_pushed else WATCH_WAIT_SECONDS
+        target = f"{LIST_PATH}?after={version}&wait_ms={round(wait * 1000)}"
+        return await self._call(target, wait + WATCH_SLACK_SECONDS)
+
+    @property
+    def _list_call_timeout(self) -> float:
+        return AGENT_LIST_CALL_TIMEOUT_SECONDS if self._is_pushed else LIST_CALL_TIMEOUT_SECONDS
 
-    async def _call(self, target: str, timeout: float = LIST_CALL_TIMEOUT_SECONDS) -> EndpointUpdate:
+    async def _call(self, target: str, timeout: float) -> EndpointUpdate:
         """Make one call and return its update.
 
         Raises ``DiscoveryTimeoutError`` after ``timeout`` s, and ``DiscoveryCallError`` for any other
--- a/saltcourse/proxy/server.py
+++ b/saltcourse/proxy/server.py
@@ -94,7 +94,7 @@
             self._background_services.insert(0, gossip)
             gossip.attach(self)
         self.peers = self._make_peer_link()
-        self.discovery = DiscoveryClient(config.discovery, config.known.version, self._send_to_dispatcher)
+        self.discovery = self._make_discovery_client()
         self.dispatcher = self._make_dispatcher()
         self.metrics = Metrics(each.name for each in config.settings.classes)
         self.metrics.gauges = self._gauges
@@ -111,6 +111,11 @@
 
         return PeerLink(self.config.peers, self._send_to_dispatcher)
 
+    def _make_discovery_client(self) -> DiscoveryClient:
+        config = self.config
+        mode = config.settings.discovery_mode
+        return DiscoveryClient(config.discovery, mode, config.known.version, self._send_to_dispatcher)
+
     def _make_dispatcher(self) -> Dispatcher:
         handlers = ActionHandlers(discovery=self.discovery.send, peers=self._send_to_peers)
         return Dispatcher(self.config, self.clock, handlers)
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -27,10 +27,10 @@
 class FakeDiscovery:
     """A discovery service controlled by the test, with a discovery client and no other part of the proxy."""
 
-    def __init__(self, version: int) -> None:
+    def __init__(self, version: int, mode: DiscoveryMode = DiscoveryMode.POLLED) -> None:
         self.listener = listen()
         self.received: list[EndpointsReceived] = []
-        self.client = DiscoveryClient(self.listener.getsockname(), version, self.received.append)
+        self.client = DiscoveryClient(self.listener.getsockname(), mode, version, self.received.append)
         self.client.start()
         self.calls: list[RemoteConnection] = []
 
