An attempt cancelled between UP and its relay ends and frees its memory

Cause: a request that is answered otherwise while the message about UP is in its mailbox closes the attempt, but nobody sets may_relay then, and the attempt's task waited for it until the process ended, with its buffers. Change: close() sets may_relay, and a cancelled attempt ends before it relays.

--- a/saltcourse/proxy/attempt.py
+++ b/saltcourse/proxy/attempt.py
@@ -116,6 +116,7 @@
     def close(self) -> None:
         """Cancel the attempt and close its connection, because the next attempt must not overlap with it."""
         self._is_cancelled = True
+        self.may_relay.set()  # the owner may have ended without relaying UP
         if self.stream is not None:
             self.stream.close()
 
@@ -185,6 +186,8 @@
             return AttemptOutcome(STATUS_BY_ANSWER.get(word, AttemptStatus.ERROR))
         self._owner.send(AttemptEstablished(self, bytes(answer)))
         await self.may_relay.wait()
+        if self._is_cancelled:
+            return AttemptOutcome(AttemptStatus.CANCELLED)
         return await self._relay(stream)
 
     async def _relay(self, stream: SocketStream) -> AttemptOutcome:
--- a/tests/proxy/test_attempt.py
+++ b/tests/proxy/test_attempt.py
@@ -12,7 +12,7 @@
 from saltcourse.proxy.attempt import AttemptSpec, BackendAttempt
 from saltcourse.proxy.clock import Clock
 from tests.proxy.exchange_player import listen
-from tests.proxy.running_proxy import nothing_connected, write_open_line_in_parts
+from tests.proxy.running_proxy import nothing_connected, wait_until, write_open_line_in_parts
 
 
 class RecordingOwner:
@@ -91,3 +91,27 @@
         listener.close()
 
     asyncio.run(play())
+
+
+def test_an_attempt_cancelled_between_up_and_its_relay_ends() -> None:
+    """Guards against a task and its buffers that stay for good.
+
+    The owner gave its final answer while the message about UP was in its mailbox, so it never relayed UP, and
+    the attempt went on waiting for that although its connection was closed.
+    """
+
+    async def play() -> None:
+        listener, owner = listen(), RecordingOwner()
+        attempt = attempt_at(listener, owner, 1.0)
+        attempt.start()
+        backend, _ = await asyncio.get_running_loop().sock_accept(listener)
+        backend.sendall(b"UP r\r\nafter\r\n")
+        await wait_until(lambda: owner.messages)
+        attempt.close()
+        assert attempt.task is not None
+        await asyncio.wait_for(attempt.task, 5.0)
+        assert owner.messages[-1].status is AttemptStatus.CANCELLED
+        backend.close()
+        listener.close()
+
+    asyncio.run(play())
