--- a/saltcourse/proxy/opening.py
+++ b/saltcourse/proxy/opening.py
@@ -118,6 +118,7 @@
         if self._is_finished or self._is_closing:
             return
         self._is_closing = True
+        self._cancel_timer()  # a timer left behind would keep the closed connection and its buffers in memory
         self._context.pending.mark_closing(self)
         self._stream.send_eof()
         self._timer = asyncio.get_running_loop().call_later(timeout, self._stream.close)
--- a/tests/proxy/test_pending_connections.py
+++ b/tests/proxy/test_pending_connections.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
+import weakref
 from contextlib import suppress
 
 from saltcourse.proxy.descriptors import OWN_DESCRIPTORS
 from saltcourse.proxy.pending_connections import MAX_CLOSING, MIN_PENDING, PendingConnections
 from saltcourse.proxy.stream import SocketStream
-from tests.proxy.running_proxy import RunningProxy, wait_until
+from tests.proxy.running_proxy import RunningProxy, run_loop_iterations, wait_until
 
 
 class RecordingConnection:
@@ -67,3 +69,26 @@
             await wait_until(lambda: not proxy.server.clients)
 
     asyncio.run(play())
+
+
+def test_a_shed_connection_is_freed_as_soon_as_it_is_closed() -> None:
+    """Guards against a crowd of idle clients that takes the proxy over its memory limit.
+
+    The timer for the first line stayed scheduled after the half-close, and kept each shed connection and its
+    buffers in memory until it expired, up to 2 s after the socket was closed.
+    """
+
+    async def play() -> None:
+        async with RunningProxy() as proxy:
+            client = await proxy.client()
+            stream = weakref.ref(client.connection.stream)
+            client.connection.opening.shed()
+            client.sock.close()
+            await wait_until(lambda: not proxy.server.clients)
+            del client
+            proxy.remotes.clear()
+            await run_loop_iterations()
+            gc.collect()
+            assert stream() is None
+
+    asyncio.run(play())
