--- a/saltcourse/proxy/opening.py
+++ b/saltcourse/proxy/opening.py
@@ -97,6 +97,7 @@
 
     async def _next_line(self) -> memoryview | None:
         """Return the next line, or None once the client has ended; discard its data while closing."""
+        await self._stream.yield_if_due()
         while (line := None if self._is_closing else self._stream.buffer.next_line()) is None:
             if self._is_closing:
                 self._stream.buffer.take_remaining()
@@ -117,6 +118,7 @@
         if self._is_finished or self._is_closing:
             return
         self._is_closing = True
+        self._cancel_timer()  # a timer left behind would keep the closed connection and its buffers in memory
         self._context.pending.mark_closing(self)
         self._stream.send_eof()
         self._timer = asyncio.get_running_loop().call_later(timeout, self._stream.close)
