Tests take ports below the system's range for outgoing connections, from one module

Cause: three modules chose a port in the ephemeral range and released it before the process under test bound it, so any outgoing connection could take it in between (a row of docs/OPEN-FAULTS.md: "did not become ready", "condition not met", with several runs side by side). The case with thousands of ports held by another program was not run again.

--- a/tests/admin/test_server.py
+++ b/tests/admin/test_server.py
@@ -12,17 +12,11 @@
 
 from saltcourse.config import read_config
 from saltcourse.proxy.server import Phase, ProxyServer
+from tests.free_ports import free_port
 
 EXAMPLE = Path(__file__).parents[2] / "example" / "config.json"
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def values(**changes: Any) -> dict[str, Any]:
     config: dict[str, Any] = json.loads(EXAMPLE.read_text())
     config.update(
--- a/tests/app/test_control_member.py
+++ b/tests/app/test_control_member.py
@@ -7,8 +7,9 @@
 import sys
 from pathlib import Path
 
-from tests.cli.gossip_commands import ROOT, free_port, on_loopback, run_command
+from tests.cli.gossip_commands import ROOT, on_loopback, run_command
 from tests.config.operator_files import GOSSIP_SECTION, write_operator_file
+from tests.free_ports import free_port
 
 
 def test_sighup_logs_a_changed_or_invalid_section_and_the_store_is_exclusive(tmp_path: Path) -> None:
--- a/tests/cli/gossip_commands.py
+++ b/tests/cli/gossip_commands.py
@@ -3,29 +3,22 @@
 from __future__ import annotations
 
 import json
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 from tests.config.operator_files import EXAMPLE, GOSSIP_SECTION
+from tests.free_ports import free_port
 
 ROOT = Path(__file__).parents[2]
 PROXY_SECTION = GOSSIP_SECTION.replace('  me: "c0"', '  me: "p"').replace("role: CONTROL", "role: PROXY")
 
 
-def free_port(kind: int = socket.SOCK_DGRAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def write_config(folder: Path, peers: bool = True) -> Path:
     values = json.loads(EXAMPLE.read_text())
     values["settings"]["limits"]["peers"] = peers
-    values["listen"] = f"127.0.0.1:{free_port(socket.SOCK_STREAM)}"
-    values["admin"] = f"127.0.0.1:{free_port(socket.SOCK_STREAM)}"
+    values["listen"] = f"127.0.0.1:{free_port()}"
+    values["admin"] = f"127.0.0.1:{free_port()}"
     (folder / "config.json").write_text(json.dumps(values))
     return folder / "config.json"
 
--- a/tests/cli/test_gossip.py
+++ b/tests/cli/test_gossip.py
@@ -13,8 +13,9 @@
 from saltcourse.gossip.errors import StoreError
 from saltcourse.gossip.messages import ReplicaState
 from saltcourse.gossip.store import ReplicaStore
-from tests.cli.gossip_commands import PROXY_SECTION, free_port, on_loopback, run_command, write_config
+from tests.cli.gossip_commands import PROXY_SECTION, on_loopback, run_command, write_config
 from tests.config.operator_files import GOSSIP_SECTION, write_operator_file
+from tests.free_ports import free_port
 
 
 @pytest.mark.parametrize(
--- a/tests/cli/test_proxy.py
+++ b/tests/cli/test_proxy.py
@@ -13,9 +13,9 @@
 from click.testing import CliRunner
 
 from saltcourse.cli.main import main
-from tests.admin.test_server import free_port
 from tests.config.operator_files import EXAMPLE, write_operator_file, write_proxy_config
 from tests.config.test_deployment_settings import CONFIG, with_quotas
+from tests.free_ports import free_port
 
 
 @pytest.mark.parametrize("arguments", [["serve"], ["check-config"], []])
--- a/tests/gossip/loopback_fleet.py
+++ b/tests/gossip/loopback_fleet.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -23,6 +22,7 @@
 from saltcourse.gossip.host import Host
 from saltcourse.gossip.messages import Address, Position, ReplicaState, Role, Status
 from saltcourse.gossip.settings import Timing, Voter
+from tests.free_ports import free_port, free_ports
 
 ROOT = Path(__file__).parents[2]
 EXAMPLE = ROOT / "example" / "config.json"
@@ -53,16 +53,6 @@
         raise AssertionError(f"condition not met within {WAIT_TIMEOUT} s: {description}") from None
 
 
-def free_ports(count: int, kind: int = socket.SOCK_DGRAM) -> list[int]:
-    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for bound in sockets:
-        bound.bind(("127.0.0.1", 0))
-    ports: list[int] = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
-
-
 @dataclass
 class MemoryStore:
     """In-memory replacement of a voter's replica file; keeps the last saved state."""
@@ -236,7 +226,7 @@
         self.folder = folder
         self.running: dict[str, subprocess.Popen[str]] = {}
         self.gossip = dict(zip(names, [("127.0.0.1", p) for p in free_ports(len(names))], strict=True))
-        admins = free_ports(len(names), socket.SOCK_STREAM)
+        admins = free_ports(len(names))
         self.admin = dict(zip(names, [("127.0.0.1", p) for p in admins], strict=True))
         (folder / "key").write_text("ab" * 32)
         (folder / "key").chmod(0o600)
@@ -258,7 +248,7 @@
         return file
 
     def config_file(self, name: str) -> Path:
-        (port,) = free_ports(1, socket.SOCK_STREAM)
+        port = free_port()
         values = json.loads(EXAMPLE.read_text())
         values["settings"]["limits"]["peers"] = True
         values |= {"name": name, "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9"}
--- a/tests/proxy/test_draining.py
+++ b/tests/proxy/test_draining.py
@@ -26,7 +26,8 @@
 )
 from saltcourse.proxy.server import Phase
 from saltcourse.proxy.stream import SocketStream
-from tests.admin.test_server import free_port, values
+from tests.admin.test_server import values
+from tests.free_ports import free_port
 from tests.proxy.running_proxy import (
     OPEN,
     SHORT,
--- a/tests/proxy/test_process_replacement.py
+++ b/tests/proxy/test_process_replacement.py
@@ -18,7 +18,8 @@
 import time
 from pathlib import Path
 
-from tests.admin.test_server import free_port, values
+from tests.admin.test_server import values
+from tests.free_ports import free_port
 
 CLIENTS = 60
 
--- a/tests/shared_state/test_processes.py
+++ b/tests/shared_state/test_processes.py
@@ -18,8 +18,8 @@
 from pathlib import Path
 from typing import Any
 
-from tests.admin.test_server import EXAMPLE, free_port
-from tests.free_ports import free_addresses
+from tests.admin.test_server import EXAMPLE
+from tests.free_ports import free_addresses, free_port
 from tests.proxy.test_process_replacement import admin_answer
 
 PROXIES, BACKENDS = 4, 3
