--- a/saltcourse/proxy/stream.py
+++ b/saltcourse/proxy/stream.py
@@ -33,8 +33,7 @@
 from saltcourse.proxy.errors import ConnectionLostError
 
 MAX_WRITE_BUFFER_BYTES = 64 * 1024  # each write is awaited, so that little data accumulates
-# Lines and reads of one connection that are processed before the event loop runs. A line takes some ten
-# microseconds, so that a hundred such connections delay a timer by less than 0.1 s.
+# Lines and reads of one connection that are processed before the event loop runs.
 STEPS_PER_TURN = 16
 LINGER_ZERO = struct.pack("ii", 1, 0)  # SO_LINGER value with which a close sends a reset
 END_EVENTS = getattr(select, "POLLRDHUP", 0x2000) | select.POLLHUP | select.POLLERR
