Keep a queued discovery call after SIGHUP instead of giving it up

Cause: _watch_new_address gave its calls up after 1.2 and 2.4 s. A call that is given up loses its place in the queue of discovery, so the list came 6.6 s after SIGHUP. The timeout was to replace a lost call, and could not tell it from a queued one. A trace of the old code has calls at 0, 1.4 and 4.0 s, the third one answered.

Further calls follow only when both have failed.

--- a/saltcourse/proxy/discovery_client.py
+++ b/saltcourse/proxy/discovery_client.py
@@ -18,7 +18,8 @@
    lower than the one that was known when its call was made, discovery has restarted, and its complete list
    is used.
 4. After a change of address, the complete list is fetched first, because the versions of the new service
-   are unknown.
+   are unknown. A call that is slow to be answered keeps its place in the service's queue: one hedged call
+   is made beside it, in case it is lost, and the first response is used.
 """
 
 from __future__ import annotations
@@ -65,7 +66,9 @@
 # Delay before the next watch call after an immediate response without changes. Discovery treats a call
 # within 0.2 s as a continuation of the same watch.
 MIN_WATCH_INTERVAL_SECONDS = 0.1
-FIRST_CALL_TIMEOUT_SECONDS = 1.2  # at a new address; doubled per retry, as the list is needed within 4 s
+# Delay of the hedged call at a new address. The list is needed within 4 s, and discovery may queue the hedged
+# call for most of LIST_CALL_TIMEOUT_SECONDS.
+HEDGE_DELAY_SECONDS = 1.2
 NEW_ADDRESS_RETRY_SECONDS = 0.2  # delay between calls at a new address until one is answered
 READ_CHUNK_BYTES = 16 * 1024
 
@@ -139,17 +142,39 @@
 
     async def _watch_new_address(self) -> None:
         self._version = 0
-        timeout = FIRST_CALL_TIMEOUT_SECONDS
-        while True:
-            try:
-                update = await self._call(LIST_PATH, min(timeout, self._list_call_timeout))
-                break
-            except DiscoveryError:
-                timeout *= 2
-                await asyncio.sleep(NEW_ADDRESS_RETRY_SECONDS)
+        update = await self._hedged_fetch()
+        while update is None:
+            await asyncio.sleep(NEW_ADDRESS_RETRY_SECONDS)
+            update = await self._try_fetch()
         self._publish(update, 0)
         await self._watch()
 
+    async def _hedged_fetch(self) -> EndpointUpdate | None:
+        """Fetch the complete list, with a second call beside a first one that is unanswered for a time.
+
+        Return the first response, or None if no call succeeds.
+        """
+        loop = asyncio.get_running_loop()
+        calls = {loop.create_task(self._try_fetch(), name="endpoint list fetch")}
+        try:
+            done, _ = await asyncio.wait(calls, timeout=HEDGE_DELAY_SECONDS)
+            if not done:
+                calls.add(loop.create_task(self._try_fetch(), name="hedged endpoint list fetch"))
+            for response in asyncio.as_completed(calls):
+                if (update := await response) is not None:
+                    return update
+        finally:
+            for call in calls:
+                call.cancel()
+        return None
+
+    async def _try_fetch(self) -> EndpointUpdate | None:
+        """Fetch the complete list; return None if the call fails."""
+        try:
+            return await self._call(LIST_PATH, self._list_call_timeout)
+        except DiscoveryError:
+            return None
+
     async def _fetch(self) -> None:
         version_at_call = self._version
         try:
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -14,14 +14,16 @@
 from saltcourse.balancing.events import EndpointsUpdated, EndpointUpdateKind
 from saltcourse.balancing.settings import DiscoveryMode
 from saltcourse.proxy import discovery_client
-from saltcourse.proxy.discovery_client import DiscoveryClient
+from saltcourse.proxy.discovery_client import ChangeAddress, DiscoveryClient
 from saltcourse.proxy.messages import EndpointsReceived
 from tests.balancing.balancer_host import BalancerHost, make_endpoints
 from tests.proxy.exchange_player import RemoteConnection, listen
-from tests.proxy.running_proxy import run_loop_iterations, wait_until
+from tests.proxy.running_proxy import nothing_connected, run_loop_iterations, wait_until
 
 CHANGE_KNOWN_WITHIN_SECONDS = 6.0  # time within which the proxy is expected to know a change of the list
 MAX_CALL_DELAY_SECONDS = 3.0  # maximum time for which discovery may queue a call
+NEW_ADDRESS_KNOWN_WITHIN_SECONDS = 4.0  # time after SIGHUP when the list of the new address counts as known
+CALL_TURN_SECONDS = 2.6  # time for which a crowded discovery service queues a call that it answers
 
 
 class FakeDiscovery:
@@ -34,6 +36,12 @@
         self.client.start()
         self.calls: list[RemoteConnection] = []
 
+    def move(self) -> None:
+        """Replace discovery by one at another address, as after SIGHUP with a new configuration."""
+        self.listener.close()
+        self.listener = listen()
+        self.client.send(ChangeAddress(self.listener.getsockname()))
+
     async def call(self) -> tuple[RemoteConnection, str]:
         async with asyncio.timeout(10.0):
             sock, _ = await asyncio.get_running_loop().sock_accept(self.listener)
@@ -163,6 +171,66 @@
             assert node.now - failed <= 0.5
 
 
+def test_the_first_call_at_a_new_address_keeps_its_place_in_a_slow_queue() -> None:
+    """Guards against a queued call that is given up and queued again, so that its answer is never read.
+
+    After SIGHUP the list of a slow discovery service came too late, and draining backends got requests.
+    """
+
+    async def play() -> None:
+        discovery = FakeDiscovery(5)
+        discovery.move()
+        first, target = await discovery.call()
+        assert target == discovery_client.LIST_PATH
+        await discovery.call()  # made while the first one is still in the queue
+        await discovery.answer(first, 9, True, "DRAINING")
+        await wait_until(lambda: discovery.versions() == [9], seconds=2.0)
+        await discovery.end()
+
+    asyncio.run(play())
+
+
+def test_a_lost_first_call_at_a_new_address_is_replaced_within_the_time_to_know_the_list() -> None:
+    """The replacing call may be queued for the full time, and the list has to be known 4 s after SIGHUP."""
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = FakeDiscovery(5)
+        began = loop.time()
+        discovery.move()
+        await discovery.call()  # gets no answer
+        second, target = await discovery.call()
+        assert target == discovery_client.LIST_PATH
+        assert loop.time() - began + CALL_TURN_SECONDS <= NEW_ADDRESS_KNOWN_WITHIN_SECONDS
+        await discovery.answer(second, 9, True, "DRAINING")
+        _, target = await discovery.call()
+        assert "after=9&" in target and discovery.versions() == [9]
+        await discovery.end()
+
+    asyncio.run(play())
+
+
+def test_a_new_address_that_stays_silent_gets_two_calls_at_a_time_at_most() -> None:
+    """Guards against calls without number from each proxy to a discovery service that is already crowded."""
+
+    async def play() -> None:
+        discovery = FakeDiscovery(5)
+        discovery.move()
+        first, second = (await discovery.call())[0], (await discovery.call())[0]
+        first.sock.close()  # failed, so the second call is waited for alone
+        discovery.listener.settimeout(0)
+        await asyncio.sleep(1.0)
+        assert nothing_connected(discovery.listener)
+        second.sock.close()  # no call is left, so the next one follows
+        third, target = await discovery.call()
+        assert target == discovery_client.LIST_PATH
+        await discovery.answer(third, 9, True, "DRAINING")
+        await wait_until(lambda: discovery.versions() == [9])
+        await discovery.end()
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize(
     "answer",
     [
