Cancel a request's timers once it is established or has its final answer

What callers saw: clients that come under ever new ids fill the memory, also when they leave at once: 300 clients with ids of 4 KB and d=30000 took the process from 28.7 to 61 MB in 4 s, with a hanging backend to 72 MB.

Cause: RequestTimers kept each request until its deadline timer fired, up to 60 s after the arrival, and the event loop kept the timer, although the timer of an answered, left or established request has no effect.

Change: the balancer cancels the timers of such a request (action CancelTimer), the dispatcher cancels them in the event loop. The simulator's timers cannot be cancelled: the adapter skips the action, and a timer that fires after its cancellation is ignored. A token that was never set is an error as before; one that fires twice is no longer told apart from a cancelled one.

Four new cases in test_placement.py failed before.

--- a/saltcourse/balancing/actions.py
+++ b/saltcourse/balancing/actions.py
@@ -48,6 +48,13 @@
     token: int
 
 
+@dataclass(slots=True)
+class CancelTimer:
+    """Forget the timer with this token; a host that cannot do so may still send its ``TimerFired``."""
+
+    token: int
+
+
 @dataclass(slots=True)
 class StartHealthCheck:
     """Start a health check of a backend, which also requests its load report."""
@@ -79,6 +86,7 @@
     | FailRequest
     | MigrateConnection
     | SetTimer
+    | CancelTimer
     | StartHealthCheck
     | SendPeerMessage
     | WatchEndpoints
--- a/saltcourse/balancing/admission.py
+++ b/saltcourse/balancing/admission.py
@@ -25,6 +25,7 @@
 from saltcourse.balancing.retries import is_safe_to_retry
 from saltcourse.balancing.settings import Settings
 from saltcourse.balancing.state import Request
+from saltcourse.balancing.timers import RequestTimers
 
 OUTCOME_MEMORY_SECONDS = 5.0  # Each tick of t seconds reduces both counts by the share t / 5.
 EARLY_RESET_SECONDS = 3.0  # A connection that is reset within this time counts as a failed attempt.
@@ -75,17 +76,19 @@
 class FinalAnswers:
     """Gives the final answer to requests that get no further attempt."""
 
-    __slots__ = ("_actions", "_longest_retry_after", "_random", "_requests")
+    __slots__ = ("_actions", "_longest_retry_after", "_random", "_requests", "_timers")
 
     def __init__(
         self,
         settings: Settings,
         requests: dict[str, Request],
+        timers: RequestTimers,
         actions: list[Action],
         random_source: random.Random,
     ) -> None:
         self._longest_retry_after = settings.longest_retry_after  # seconds
         self._requests = requests
+        self._timers = timers
         self._actions = actions
         self._random = random_source
 
@@ -97,5 +100,6 @@
         else:
             self._actions.append(FailRequest(request.id))
         request.is_answered = True
+        self._timers.cancel(request)
         if not request.is_in_flight:
             self._requests.pop(request.id, None)
--- a/saltcourse/balancing/balancer.py
+++ b/saltcourse/balancing/balancer.py
@@ -138,7 +138,7 @@
             self._reports,
             retries,
             self.overload,
-            FinalAnswers(settings, self.requests, actions, self._random),
+            FinalAnswers(settings, self.requests, self.timers, actions, self._random),
             AttemptStarter(
                 actions, self._occupancy, self.slot_ceilings, self._slow_start, self.ejection, retries
             ),
@@ -190,7 +190,9 @@
         elif event.token == ENDPOINT_LIST_TOKEN:
             self._discovery_scheduler.timer_fired(now)
         else:
-            self._placement.timer_fired(now, self.timers.pop(event.token))
+            request = self.timers.pop(event.token)
+            if request is not None:
+                self._placement.timer_fired(now, request)
 
     def _tick(self, now: float) -> None:
         self._refresh(now)
@@ -255,6 +257,7 @@
         backend = request.backend
         request.is_established = True
         request.established_at = now
+        self.timers.cancel(request)
         backend.connections[request.id] = request
         self.overload.connection_established()
         self._attribution.connection_established(now, request, backend)
@@ -279,6 +282,7 @@
         if event.final or request.is_established or request.is_answered:
             self.requests.pop(event.request, None)
             request.is_answered = True
+            self.timers.cancel(request)
             return
         self.overload.attempt_failed(status)
         record_attempt(request, backend, status, now - event.latency)
@@ -288,6 +292,7 @@
         request = self.requests.get(event.request)
         if request is not None:
             request.is_answered = True
+            self.timers.cancel(request)
             if not request.is_in_flight:
                 del self.requests[event.request]
 
--- a/saltcourse/balancing/errors.py
+++ b/saltcourse/balancing/errors.py
@@ -16,7 +16,7 @@
 
 
 class UnknownTimerError(KeyError):
-    """A timer fired with a token that was never set, or that has fired before."""
+    """A timer fired with a token that was never set."""
 
     def __init__(self, token: int) -> None:
         super().__init__(token)
@@ -24,4 +24,4 @@
 
     def __str__(self) -> str:
         """Return a message with the token."""
-        return f"a timer fired with token {self.token}, but no timer with this token is set"
+        return f"a timer fired with token {self.token}, but no timer with this token was ever set"
--- a/saltcourse/balancing/state.py
+++ b/saltcourse/balancing/state.py
@@ -171,6 +171,7 @@
     group: str
     flow: str
     is_answered: bool = False  # Whether a final answer was given, or is not needed.
+    timers: list[int] = field(default_factory=list)  # Tokens of its pending timers, written by ``timers``.
 
     # Attempts; all fields but the number refer to the last attempt. Times are in seconds.
     attempts: int = 0
--- a/saltcourse/balancing/timers.py
+++ b/saltcourse/balancing/timers.py
@@ -1,8 +1,13 @@
-"""Timers: the tokens that identify the balancer's timers, and the timers of requests."""
+"""Timers: the tokens that identify the balancer's timers, and the timers of requests.
+
+A timer lasts for as long as a client would wait, up to a minute, and keeps its request in memory. So it is
+cancelled once the request needs it no more: clients that leave at once and come again under new ids would
+otherwise fill the memory.
+"""
 
 from __future__ import annotations
 
-from saltcourse.balancing.actions import Action, SetTimer
+from saltcourse.balancing.actions import Action, CancelTimer, SetTimer
 from saltcourse.balancing.errors import UnknownTimerError
 from saltcourse.balancing.state import Request
 
@@ -24,14 +29,24 @@
         """Set a timer for the request that fires after ``delay`` seconds."""
         self._last_token += 1
         self.requests[self._last_token] = request
+        request.timers.append(self._last_token)
         self._actions.append(SetTimer(max(0.0, delay), self._last_token))
 
-    def pop(self, token: int) -> Request:
-        """Remove a timer that has fired and return its request.
+    def cancel(self, request: Request) -> None:
+        """Cancel all timers of a request that is established or has its final answer."""
+        for token in request.timers:
+            del self.requests[token]
+            self._actions.append(CancelTimer(token))
+        request.timers.clear()
+
+    def pop(self, token: int) -> Request | None:
+        """Remove a timer that has fired and return its request, or None if the timer has ended before.
 
-        Raises ``UnknownTimerError`` if no timer with this token is set.
+        Raises ``UnknownTimerError`` if no timer with this token was ever set.
         """
-        try:
-            return self.requests.pop(token)
-        except KeyError:
-            raise UnknownTimerError(token) from None
+        if not ENDPOINT_LIST_TOKEN < token <= self._last_token:
+            raise UnknownTimerError(token)
+        request = self.requests.pop(token, None)
+        if request is not None:
+            request.timers.remove(token)
+        return request
--- a/saltcourse/proxy/dispatcher.py
+++ b/saltcourse/proxy/dispatcher.py
@@ -19,6 +19,7 @@
 
 from saltcourse.balancing.actions import (
     Action,
+    CancelTimer,
     FailRequest,
     FetchEndpoints,
     MigrateConnection,
@@ -127,6 +128,7 @@
         self._summary = TrafficSummary()
         self._last_summary = clock.now()
         self._balancer = Balancer(config.settings, config.seed)
+        self._timers: dict[int, asyncio.TimerHandle] = {}  # the balancer's pending timers, by token
 
     async def run(self) -> None:
         """Start with the known endpoint list, then process messages until cancelled."""
@@ -155,6 +157,7 @@
                 self._set_draining(message)
             case TimerExpired(balancer, token):
                 if balancer is self._balancer:
+                    self._timers.pop(token, None)
                     self._handle(TimerFired(token))
             case _:
                 self._receive_event(message)
@@ -297,6 +300,8 @@
             if request not in self._monitor.established:
                 record.owner.send(FailRequest(request))
         self._seed += 1
+        for token in list(self._timers):
+            self._cancel_timer(token)
         self._balancer = Balancer(self._settings, self._seed)
         now = self._clock.now()
         endpoints = EndpointsUpdated(EndpointUpdateKind.CACHED, tuple(self.endpoints.values()))
@@ -320,7 +325,9 @@
                 self._migrate(request)
             case SetTimer(delay, token):
                 expired = TimerExpired(self._balancer, token)
-                asyncio.get_running_loop().call_later(delay, self.send, expired)
+                self._timers[token] = asyncio.get_running_loop().call_later(delay, self.send, expired)
+            case CancelTimer(token):
+                self._cancel_timer(token)
             case StartHealthCheck(backend):
                 self._start_health_check(backend)
             case WatchEndpoints() | FetchEndpoints():
@@ -328,6 +335,11 @@
             case SendPeerMessage():
                 self._handlers.peers(action)
 
+    def _cancel_timer(self, token: int) -> None:
+        timer = self._timers.pop(token, None)
+        if timer is not None:
+            timer.cancel()
+
     def _send_answer(self, action: RejectRequest | FailRequest) -> None:
         is_rejected = isinstance(action, RejectRequest)
         self._summary.count_request(RequestOutcome.REJECTED if is_rejected else RequestOutcome.FAILED)
--- a/saltcourse/simulator_adapter.py
+++ b/saltcourse/simulator_adapter.py
@@ -21,6 +21,7 @@
 
 from saltcourse.balancing.actions import (
     Action,
+    CancelTimer,
     FailRequest,
     FetchEndpoints,
     MigrateConnection,
@@ -364,6 +365,8 @@
             return
         try:
             for action in instance.balancer.handle(now, event):
+                if isinstance(action, CancelTimer):  # The simulator's timers cannot be cancelled.
+                    continue
                 actions.append(ACTION_WRITERS[type(action)](action, node))
         except Exception as error:  # The wire protocol reports failures of the balancer as a message.
             text = f"{type(error).__name__}: {error}"
--- a/tests/balancing/test_placement.py
+++ b/tests/balancing/test_placement.py
@@ -2,8 +2,28 @@
 
 from __future__ import annotations
 
-from saltcourse.balancing.actions import FailRequest, RejectRequest, StartAttempt, StartHealthCheck
-from saltcourse.balancing.events import AttemptStatus, BackendState, Endpoint, EndpointUpdateKind
+from collections.abc import Callable
+
+import pytest
+
+from saltcourse.balancing.actions import (
+    CancelTimer,
+    FailRequest,
+    RejectRequest,
+    SetTimer,
+    StartAttempt,
+    StartHealthCheck,
+)
+from saltcourse.balancing.balancer import Balancer
+from saltcourse.balancing.errors import UnknownTimerError
+from saltcourse.balancing.events import (
+    AttemptStatus,
+    BackendState,
+    ClientDisconnected,
+    Endpoint,
+    EndpointUpdateKind,
+    TimerFired,
+)
 from tests.balancing.balancer_host import BalancerHost, make_endpoints
 
 
@@ -52,3 +72,36 @@
             if host.backend(check.backend).report.check_in_flight:
                 host.report_loads(**{check.backend: 1.4})
     assert host.actions(RejectRequest) and not host.actions(StartAttempt)
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        lambda host, request: host.handle(ClientDisconnected(request)),
+        lambda host, request: host.establish(request),
+        lambda host, request: host.finish(request, AttemptStatus.CANCELLED, final=True),
+        lambda host, request: [host.finish(request, AttemptStatus.FULL) for _ in range(4)],
+    ],
+    ids=["client disconnects", "established", "final outcome", "rejected"],
+)
+def test_a_request_that_needs_no_answer_any_more_is_not_kept_by_its_timer(
+    end: Callable[[BalancerHost, str], object],
+) -> None:
+    """Guards against memory that fills with the requests of clients that leave at once."""
+    host = BalancerHost()
+    host.update_endpoints(make_endpoints(5))
+    request = host.request(time_left=60.0)
+    token = host.actions(SetTimer)[-1].token
+    assert token in host.balancer.timers.requests
+    end(host, request)
+    assert host.actions(CancelTimer) == [CancelTimer(token)]
+    assert not host.balancer.timers.requests
+    before = len(host.log)
+    host.handle(TimerFired(token))  # from a host that cannot cancel timers, or did so too late
+    assert len(host.log) == before
+
+
+def test_a_timer_that_was_never_set_is_an_error() -> None:
+    balancer = Balancer(BalancerHost().settings, 1)
+    with pytest.raises(UnknownTimerError, match="^a timer fired with token 77, but no timer"):
+        balancer.handle(0.0, TimerFired(77))
--- a/tests/proxy/test_dispatcher.py
+++ b/tests/proxy/test_dispatcher.py
@@ -10,6 +10,7 @@
 
 from saltcourse.balancing.actions import (
     Action,
+    CancelTimer,
     FailRequest,
     FetchEndpoints,
     MigrateConnection,
@@ -236,3 +237,17 @@
         assert harness.owner.messages == [MigrateConnection("r")]
 
     play(scenario)
+
+
+def test_a_cancelled_timer_neither_fires_nor_stays_in_memory() -> None:
+    async def scenario(harness: DispatcherHarness) -> None:
+        harness.balancer.on(RequestReceived, SetTimer(0.01, 7), SetTimer(0.02, 8), CancelTimer(7))
+        harness.new_request()
+        await harness.let_run()
+        assert list(harness.dispatcher._timers) == [8]
+        async with asyncio.timeout(5.0):
+            while TimerFired(8) not in harness.balancer.events:
+                await asyncio.sleep(0.005)
+        assert TimerFired(7) not in harness.balancer.events and not harness.dispatcher._timers
+
+    play(scenario)
