Bound the connections by limits.memory_mb, and give back buffers and lines

What callers saw: crowds of hundreds of clients took a process over its memory limit, which nothing in the program used: 600 clients with 600 fields each 45 MB of 44, with half a megabyte and no line end 45 MB.

Cause: a connection held two read buffers of 8 KB and two copies of its OPEN line for life. Parsing hundreds of fields makes tables of up to 36 KB, whose holes in the heap other buffers then split. The number of connections followed from limits.sockets alone.

Change: what is left of limits.memory_mb at the start, less 3 MB, bounds the descriptors of connections at 24 KB each (the worst crowd took 21 KB for each, 300 clients with ids of 4 KB, 12.5 MB). Beyond it clients are refused as for lack of descriptors. Read buffers begin with 512 bytes, grow to 4 KB when a read fills them and shrink when empty. The text of an OPEN line is freed after UP, and it has at most 64 fields. Gauges svc.descriptors, svc.descriptors_limit, svc.resident_kb; the log line "connections limited by memory".

Below 56 MB with 1,024 descriptors the bound is the smaller one; above it nothing changes.

--- a/saltcourse/codec/lines.py
+++ b/saltcourse/codec/lines.py
@@ -25,16 +25,18 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from saltcourse.balancing.events import LoadReport
 from saltcourse.codec.errors import ProtocolError
 
 MICROSECONDS = 1e-6  # seconds; LOAD is in microseconds of work per second
 MAX_LINE_BYTES = 4096  # including CRLF
+INITIAL_BUFFER_BYTES = 512  # most lines are shorter
 MAX_TIMEOUT_MILLISECONDS = 60_000  # `d` of a new request: no client waits longer for UP
 MAX_RESUME_TIMEOUT_MILLISECONDS = 86_400_000  # `d` with `at`: the connection was established earlier
 MAX_TIMEOUT_DIGITS = 12
+MAX_OPEN_FIELDS = 64  # several times what a request has; bounds the memory that parsing takes
 LINE_END = b"\r\n"
 OPEN_PREFIX = b"OPEN "
 LOAD_PREFIX = b"LOAD "
@@ -57,24 +59,42 @@
 
 
 class LineBuffer:
-    """A buffer of fixed size for received bytes that have not been consumed yet."""
+    """A buffer for received bytes that have not been consumed yet.
 
-    __slots__ = ("_bytes", "_start", "_end", "_searched")
+    It grows to ``max_size`` bytes, enough for a line of the maximum length, when a read fills it, and shrinks
+    when it is empty before a read: a proxy has two of them for each client, most of which are idle.
+    """
+
+    __slots__ = ("_bytes", "_start", "_end", "_searched", "_max_size")
 
-    def __init__(self, size: int = 2 * MAX_LINE_BYTES) -> None:
-        self._bytes = bytearray(size)
+    def __init__(self, max_size: int = MAX_LINE_BYTES) -> None:
+        self._max_size = max_size
+        self._bytes = bytearray(min(INITIAL_BUFFER_BYTES, max_size))
         self._start = self._end = 0
         self._searched = 0  # there is no line end before this index
 
     def free_space(self) -> memoryview:
         """Return the free part of the buffer, to read the next bytes into; empty if the buffer is full."""
-        if self._start:
-            kept = self._end - self._start
-            self._bytes[:kept] = self._bytes[self._start : self._end]
-            self._searched = max(0, self._searched - self._start)
-            self._start, self._end = 0, kept
+        size = self._next_size()
+        if self._start or size != len(self._bytes):
+            self._move_to_front(size)
         return memoryview(self._bytes)[self._end :]
 
+    def _next_size(self) -> int:
+        size = len(self._bytes)
+        if self._end == size:  # the last read filled the buffer, so more may be waiting
+            return self._max_size
+        return size if self.has_data else min(INITIAL_BUFFER_BYTES, self._max_size)
+
+    def _move_to_front(self, size: int) -> None:
+        """Move the unconsumed bytes to the front of a buffer of ``size`` bytes."""
+        remaining = self._bytes[self._start : self._end]
+        if size != len(self._bytes):  # a new one, because a line that was returned prevents a resize
+            self._bytes = bytearray(size)
+        self._bytes[: len(remaining)] = remaining
+        self._searched = max(0, self._searched - self._start)
+        self._start, self._end = 0, len(remaining)
+
     def commit(self, count: int) -> None:
         """Mark ``count`` bytes of the free space as received."""
         self._end += count
@@ -133,6 +153,10 @@
         milliseconds = max(1, math.floor(seconds * 1000))
         return b"%s%d%s" % (self.before_timeout, milliseconds, self.after_timeout)
 
+    def without_line(self) -> OpenRequest:
+        """Return the request without the text of its line, which is not sent again after an UP."""
+        return replace(self, before_timeout=b"", after_timeout=b"")
+
 
 def parse_open(line: memoryview) -> OpenRequest:
     """Parse a complete OPEN line; the line is copied, because it is sent with every attempt.
@@ -171,6 +195,8 @@
 
 def _parse_fields(text: str) -> dict[str, str]:
     """Parse comma-separated ``name=value`` pairs. Raises ``ProtocolError``."""
+    if text.count(",") >= MAX_OPEN_FIELDS:
+        raise ProtocolError(f"OPEN: more than {MAX_OPEN_FIELDS} fields")
     fields: dict[str, str] = {}
     for pair in text.split(","):
         name, equals, value = pair.partition("=")
--- a/saltcourse/proxy/attempt.py
+++ b/saltcourse/proxy/attempt.py
@@ -19,7 +19,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from saltcourse.balancing.events import AttemptStatus
@@ -98,6 +98,7 @@
         self.is_muted = False  # the client was sent MOVE, after which nothing may be written to it
         self._owner = owner
         self._spec = spec
+        self._open_line_length = len(spec.open_line)
         self._is_cancelled = False
 
     async def run(self) -> None:
@@ -126,7 +127,7 @@
         The order in which coroutines resume does not show this: a timeout or a reset may arrive while the
         last part of a partial write completes.
         """
-        return self.stream is not None and self.stream.bytes_sent >= len(self._spec.open_line)
+        return self.stream is not None and self.stream.bytes_sent >= self._open_line_length
 
     async def _make_attempt(self) -> AttemptOutcome:
         if self._is_cancelled or not self._owner.wants_answer():  # cancelled before this task first ran
@@ -159,6 +160,7 @@
             if not self._owner.wants_answer():  # the client may have disconnected in the meantime
                 raise AttemptAbandonedError
             await stream.write(self._spec.open_line)
+            self._spec = replace(self._spec, open_line=b"")  # frees the line, which may be long
             while (line := await stream.next_line()) is not None:
                 if parse_load(line) is None:
                     break
--- a/saltcourse/proxy/client_connection.py
+++ b/saltcourse/proxy/client_connection.py
@@ -307,6 +307,7 @@
             attempt.close()
             return
         self.state = ConnectionState.ESTABLISHED
+        self.open_request = self.open_request.without_line()
         self.context.metrics.count_reply(self.open_request.request_class, ReplyOutcome.ESTABLISHED)
         with contextlib.suppress(ConnectionLostError):  # the client reader reports the lost connection
             await self.stream.write(line)
--- a/saltcourse/proxy/server.py
+++ b/saltcourse/proxy/server.py
@@ -31,7 +31,7 @@
 from saltcourse.codec.endpoint_list import Address
 from saltcourse.config import RESTART_REQUIRED_KEYS, Config, ConfigError
 from saltcourse.metrics import Metrics
-from saltcourse.proxy import draining
+from saltcourse.proxy import draining, memory_limit
 from saltcourse.proxy.background_service import BackgroundService, MembershipService
 from saltcourse.proxy.client_connection import ClientConnection, ConnectionState
 from saltcourse.proxy.clock import Clock
@@ -98,7 +98,7 @@
         self.dispatcher = self._make_dispatcher()
         self.metrics = Metrics(each.name for each in config.settings.classes)
         self.metrics.gauges = self._gauges
-        self._descriptors = DescriptorLimit(config.limits.sockets)
+        self._descriptors = self._make_descriptor_limit()
         self.pending = PendingConnections(self._descriptors.for_connections)
         self.listener = ClientListener(self._descriptors, self.pending, self._serve_client)
         self.context = self._make_context()
@@ -111,6 +111,16 @@
 
         return PeerLink(self.config.peers, self._send_to_dispatcher)
 
+    def _make_descriptor_limit(self) -> DescriptorLimit:
+        limits = self.config.limits
+        within_memory = memory_limit.descriptors_within(limits.memory_mb, memory_limit.resident_bytes())
+        limit = DescriptorLimit(limits.sockets, within_memory)
+        if limit.for_connections == within_memory:
+            log.warning(
+                "connections limited by memory", descriptors=within_memory, memory_mb=limits.memory_mb
+            )
+        return limit
+
     def _make_discovery_client(self) -> DiscoveryClient:
         config = self.config
         mode = config.settings.discovery_mode
@@ -341,6 +351,9 @@
         gossip = self._gossip.gauges() if self._gossip is not None else {}
         return {
             "concurrent": self.connections(),
+            "descriptors": SocketStream.open_count,
+            "descriptors_limit": self._descriptors.for_connections,
+            "resident_kb": memory_limit.resident_bytes() // 1024,
             **self.dispatcher.backend_gauges(),
             **shared_state,
             **gossip,
