Hand the address between proxies over when a process is replaced

Cause: the old process holds the UDP address peer_listen until its end, and the new one bound it before anything else. Replacement was built without peers, and peers without a replacement.

Change: with EDGE_LISTEN_FD the address belongs to one process at a time. The event PeerLinkChanged tells the balancer: a process without the address sends nothing and starts no health check from the fleet's budget; one that gets it begins anew, without leases and with empty buckets.

--- a/saltcourse/balancing/balancer.py
+++ b/saltcourse/balancing/balancer.py
@@ -38,6 +38,7 @@
     Event,
     HealthCheckFinished,
     LoadReport,
+    PeerLinkChanged,
     PeerMessageReceived,
     RequestReceived,
     ResponseLatencyMeasured,
@@ -93,6 +94,7 @@
             TimerFired: self._on_timer_fired,
             HealthCheckFinished: self._on_health_check_finished,
             PeerMessageReceived: self._on_peer_message_received,
+            PeerLinkChanged: self._on_peer_link_changed,
         }
 
     def _create_capacity_rules(self) -> None:
@@ -326,6 +328,9 @@
             self._shedding.load_reported(backend)
             self.slot_ceilings.update(now, backend)
 
+    def _on_peer_link_changed(self, now: float, event: PeerLinkChanged) -> None:
+        self.shared_state.set_linked(now, event.is_open)
+
     def _on_peer_message_received(self, now: float, event: PeerMessageReceived) -> None:
         for name in self.shared_state.receive(now, event.sender, event.data):
             self.ejection.apply(now, self.pool.backends[name], HealthEvent.PEER_EJECTED)
--- a/saltcourse/balancing/events.py
+++ b/saltcourse/balancing/events.py
@@ -183,6 +183,16 @@
     data: str
 
 
+@dataclass(slots=True)
+class PeerLinkChanged:
+    """This process got, or gave up, the address at which this proxy receives peers' messages.
+
+    While a process is replaced, only one of the two has it. Without such an event, the process has it.
+    """
+
+    is_open: bool
+
+
 Event = (
     EndpointsUpdated
     | RequestReceived
@@ -195,4 +205,5 @@
     | TimerFired
     | HealthCheckFinished
     | PeerMessageReceived
+    | PeerLinkChanged
 )
--- a/saltcourse/proxy/peer_link.py
+++ b/saltcourse/proxy/peer_link.py
@@ -27,6 +27,16 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.dropped_datagrams = 0  # datagrams from an unknown sender, too long, or not ASCII
 
+    @property
+    def address(self) -> str:
+        """The address at which this proxy receives, as host:port."""
+        return "{}:{}".format(*self._addresses.listen)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the socket is open."""
+        return self._transport is not None
+
     async def open(self) -> None:
         """Open the socket; raises ``OSError`` if its address cannot be bound."""
         await asyncio.get_running_loop().create_datagram_endpoint(
--- a/saltcourse/proxy/server.py
+++ b/saltcourse/proxy/server.py
@@ -52,6 +52,7 @@
     from saltcourse.admin.requests import Command
     from saltcourse.admin.server import AdminServer
     from saltcourse.proxy.peer_link import PeerLink
+    from saltcourse.proxy.peer_link_handover import PeerLinkHandover
 
 log = structlog.get_logger("saltcourse")
 
@@ -95,6 +96,7 @@
             self._background_services.insert(0, gossip)
             gossip.attach(self)
         self.peers = self._make_peer_link()
+        self._peer_link_handover: PeerLinkHandover | None = None  # only where processes are replaced
         self.discovery = self._make_discovery_client()
         self.dispatcher = self._make_dispatcher()
         self.metrics = Metrics(each.name for each in config.settings.classes)
@@ -208,12 +210,22 @@
         signals.handle(signal.SIGHUP, lambda: loop.call_soon_threadsafe(self.reload))
 
     async def _open_peer_link(self) -> None:
-        if self.peers is not None and self.config.peers is not None:
-            try:
+        if self.peers is None:
+            return
+        try:
+            if self.config.listen_fd is None:
                 await self.peers.open()
-            except OSError as error:
-                where = "{}:{}".format(*self.config.peers.listen)
-                raise ListenError("peer_listen", where, error) from None
+            else:
+                await self._take_over_peer_link(self.peers)
+        except OSError as error:
+            raise ListenError("peer_listen", self.peers.address, error) from None
+
+    async def _take_over_peer_link(self, link: PeerLink) -> None:
+        # Imported only where the platform replaces processes while they serve.
+        from saltcourse.proxy.peer_link_handover import PeerLinkHandover
+
+        self._peer_link_handover = PeerLinkHandover(link, self._send_to_dispatcher)
+        await self._peer_link_handover.open_when_free()
 
     def _start_admin(self) -> None:
         if self.config.admin is None:
@@ -234,6 +246,8 @@
         self.context.answer_deadline = self.clock.now() + timeline.answer_deadline
         loop.call_at(begin + timeline.answer_deadline, self._abandon_requests)
         self._lameduck.cancel()
+        if self._peer_link_handover is not None:
+            self._peer_link_handover.release()
         is_shared = self.config.listen_fd is not None
         was_lameduck = self.phase is Phase.LAMEDUCK
         self._enter(Phase.DRAINING)
@@ -363,7 +377,10 @@
         return self.metrics.text()
 
     def _gauges(self) -> dict[str, int]:
-        shared_state = self.dispatcher.shared_state_gauges() if self.peers is not None else {}
+        shared_state: dict[str, int] = {}
+        if self.peers is not None:
+            linked = {"fleet.linked": int(self.peers.is_open)}
+            shared_state = linked | self.dispatcher.shared_state_gauges()
         gossip = self._gossip.gauges() if self._gossip is not None else {}
         return {
             "concurrent": self.connections(),
--- a/saltcourse/shared_state/health_check_budget.py
+++ b/saltcourse/shared_state/health_check_budget.py
@@ -41,6 +41,10 @@
         self.leases = leases
         self.buckets: dict[str, SharedTokenBucket] = {}
 
+    def restart(self) -> None:
+        """Begin with empty buckets, because another process of this proxy may have spent the tokens."""
+        self.buckets.clear()
+
     def spend(self, now: float, backend: str, started_at: float) -> bool:
         """Return whether a health check of the backend may start now, and take its token.
 
--- a/saltcourse/shared_state/outbox.py
+++ b/saltcourse/shared_state/outbox.py
@@ -34,6 +34,12 @@
         # Sequence number and record of the latest broadcasts.
         self._history: deque[tuple[int, EntryRecord]] = deque(maxlen=HISTORY_LENGTH)
 
+    def restart(self) -> None:
+        """Begin again with the first message; no peer has received one from this process."""
+        self.sequence = 0
+        self.replies.clear()
+        self._history.clear()
+
     def queue_reply(self, peer: int, records: Sequence[Record]) -> None:
         """Queue records to be sent to one peer with the next messages."""
         if records:
--- a/saltcourse/shared_state/quota.py
+++ b/saltcourse/shared_state/quota.py
@@ -59,6 +59,12 @@
         if not self.granted_until:
             self.granted_until = dict.fromkeys(self.predecessors, now + self._longest_grant())
 
+    def restart(self, now: float) -> None:
+        """Begin without leases; assume that another process of this proxy has just granted all it could."""
+        self.leased_until = dict.fromkeys(self.successors, -math.inf)
+        self.granted_until = dict.fromkeys(self.predecessors, now + self._longest_grant())
+        self.open_requests.clear()
+
     def _longest_grant(self) -> float:
         return self.settings.lease_term * (1 + self.settings.clock_drift)
 
--- a/saltcourse/shared_state/state.py
+++ b/saltcourse/shared_state/state.py
@@ -90,6 +90,7 @@
         self.stall_recovered_at = LONG_AGO  # when the messages queued during a stall have been processed
         self.started_at: float | None = None
         self.undecodable_messages = 0
+        self.is_linked = True  # whether this process, of the two of a replacement, speaks for this proxy
 
     @property
     def peers(self) -> Mapping[int, Peer]:
@@ -106,6 +107,20 @@
         """The indexes of the peers that have an entry, by the entry's key."""
         return self.registry.peers_by_key
 
+    def set_linked(self, now: float, is_linked: bool) -> None:
+        """Record whether this process speaks for this proxy; it begins anew when it starts to.
+
+        While a process is replaced, the old and the new one are one proxy to the peers. The one that is not
+        linked sends nothing and spends nothing from the fleet's budgets. The one that becomes linked counts
+        as started now: the other one may just have granted leases and spent tokens.
+        """
+        if is_linked and not self.is_linked:
+            self.started_at = now
+            self.leases.restart(now)
+            self.health_checks.restart()
+            self.outbox.restart()
+        self.is_linked = is_linked
+
     # ---- interface for the balancer ---------------------------------------------------------------
 
     def peer_serves_group(self, backend: str, group: str) -> bool:
@@ -145,6 +160,8 @@
 
     def may_health_check(self, now: float, backend: str) -> bool:
         """Return whether this proxy may send a health check to the backend now; if so, charge the budget."""
+        if not self.is_linked:
+            return False
         return self.health_checks.spend(now, backend, self._start_time(now))
 
     def fleet_connections(self, now: float, backend: str) -> float:
@@ -232,7 +249,7 @@
         """Return the messages to send now."""
         self._start_time(now)
         self._detect_stall(now)
-        if self.mesh_size < 2 or not self._has_work(now):
+        if self.mesh_size < 2 or not self.is_linked or not self._has_work(now):
             return []
         if self.outbox.sequence == 0:  # this process has just started
             self._request_snapshots()
--- a/tests/shared_state/test_shared_state.py
+++ b/tests/shared_state/test_shared_state.py
@@ -17,11 +17,12 @@
     PeerMessageReceived,
     ResponseLatencyMeasured,
 )
+from saltcourse.balancing.settings import SharedStateSettings
 from saltcourse.emulator.simnet import Link
-from saltcourse.shared_state.codec import MAX_BYTES
+from saltcourse.shared_state.codec import MAX_BYTES, decode
 from saltcourse.shared_state.ejections import Ejections
-from saltcourse.shared_state.health_check_budget import HealthCheckBudget
-from saltcourse.shared_state.messages import LeaseGrant
+from saltcourse.shared_state.health_check_budget import BURST_PER_PROXY, HealthCheckBudget
+from saltcourse.shared_state.messages import LeaseGrant, SnapshotRequest
 from saltcourse.shared_state.quota import QuotaLeases
 from saltcourse.shared_state.state import SharedState
 from tests.balancing.balancer_host import BalancerHost, make_endpoints, settings
@@ -209,3 +210,47 @@
         host.handle(PeerMessageReceived(1, text))
     host.run(2.0)
     assert before < 2.0 and host.backend("s0").ceiling == pytest.approx(0.7 * 10.0)
+
+
+def test_the_two_processes_of_a_replacement_spend_no_more_than_one_proxy() -> None:
+    """The old and the new process are one proxy to the others, so only the linked one spends and sends."""
+    rules = SharedStateSettings(health_checks_per_second=40.0)
+    common = settings(peers_allowed=True, proxy_count=4, proxy_index=0, shared_state=rules)
+    old, new = (SharedState(common, incarnation, {}) for incarnation in (1, 2))
+    part = 1 / 4  # of the budget; without answers to its lease requests a proxy has no more
+    begin, now, replaced_at, spent = 100.0, 100.0, 130.0, 0
+    new.set_linked(now, False)
+    while now < begin + 60.0:
+        now += 0.02
+        if now >= replaced_at and old.is_linked:
+            old.set_linked(now, False)
+            new.set_linked(now, True)
+        for state in (old, new):
+            spent += state.may_health_check(now, "s0")
+            assert state.is_linked or not state.outgoing_messages(now)
+            state.outgoing_messages(now)
+    most = part * (rules.health_checks_per_second * (now - begin) + BURST_PER_PROXY * 4)
+    assert 0.6 * most < spent <= most
+
+
+def test_a_linked_process_uses_no_portion_that_the_other_one_may_have_granted() -> None:
+    common = settings(peers_allowed=True, proxy_count=4, proxy_index=0)
+    state = SharedState(common, 2, {})
+    term = state.settings.lease_term
+    assert state.leases.share(100.0) == state.leases.share(100.0 + 0.9 * term) == 0.5 / 4
+    assert state.leases.share(100.0 + 2 * term) == 1 / 4  # inherited
+    state.set_linked(100.0 + 2 * term, False)
+    state.set_linked(100.0 + 3 * term, True)
+    assert state.leases.share(100.0 + 3.9 * term) == 0.5 / 4
+    assert state.leases.share(100.0 + 4.1 * term) == 1 / 4
+
+
+def test_a_process_that_becomes_linked_asks_its_peers_for_all_that_they_have() -> None:
+    common = settings(peers_allowed=True, proxy_count=3, proxy_index=0)
+    state = SharedState(common, 7, {})
+    state.outgoing_messages(100.0)  # before the link is known to be taken; lost
+    state.set_linked(100.0, False)
+    assert state.outgoing_messages(105.0) == []
+    state.set_linked(110.0, True)
+    messages = [decode(text) for peer, text in state.outgoing_messages(110.0) if peer is not None]
+    assert [SnapshotRequest() in message.records for message in messages] == [True, True]
