Begin the drain at SIGTERM, beside the withdrawal of the service address

Cause: ProxyServer.run awaited the background services before the drain, whose clock began only then.

The listener stays open and nobody is moved until they have left, as clients come back here while the address leads here; the moves begin 1 s before the end at the latest. A process that is being replaced does not wait for them. The process waits for the services at its end.

--- a/saltcourse/app/address_failover.py
+++ b/saltcourse/app/address_failover.py
@@ -60,7 +60,7 @@
 
 
 class AddressFailoverService:
-    """The member in a proxy's process: it starts once the proxy serves, and leaves before the proxy drains.
+    """The member in a proxy's process: it starts once the proxy serves, and leaves when the proxy drains.
 
     ``reread`` reads the section again on a reload.
     """
--- a/saltcourse/proxy/background_service.py
+++ b/saltcourse/proxy/background_service.py
@@ -11,13 +11,13 @@
 
 
 class BackgroundService(Protocol):
-    """A service that starts when the proxy is serving and stops before it drains."""
+    """A service that starts when the proxy is serving and stops when it begins to drain."""
 
     async def start(self) -> None:
         """Start the service; called once the proxy is serving."""
 
     async def leave(self) -> None:
-        """Stop the service; called before the drain, so that clients are routed elsewhere by then."""
+        """Stop the service, so that clients are routed elsewhere; the drain waits a limited time for it."""
 
     def reload(self) -> None:
         """Read the service's configuration again; called on SIGHUP."""
--- a/saltcourse/proxy/draining.py
+++ b/saltcourse/proxy/draining.py
@@ -1,12 +1,13 @@
 """The timelines of the two kinds of drain: on SIGTERM, which ends the process, and in lameduck.
 
 SIGTERM: the request class with the longest deadline determines the duration, because SIGKILL follows 0.7 s
-after that deadline. The times are relative to the moment at which the last background service has left. That
-is immediately after SIGTERM, or up to 1.2 s later if the process announces the service address
-(``CommandAnnouncer``):
+after that deadline. The times are relative to SIGTERM:
 
-    0 s           PING is no longer answered; the front load balancer may still send clients
-    0.5 s         the listener closes; the migration of established connections begins, spread evenly
+    0 s           PING is no longer answered; the front load balancer may still send clients. The background
+                  services begin to leave
+    0.5 s         the listener closes; the migration of established connections begins, spread evenly. Both
+                  wait for the background services, because clients may come here until the service address
+                  is withdrawn, but not later than 1 s before the end
     end - 0.5 s   the last connection is migrated
     end - 0.25 s  requests without an answer are failed
     end           longest deadline (at most 3 s) + 0.45 s
@@ -35,6 +36,7 @@
 # Time from the last MOVE to the end. Clients leave immediately, but the periodic check may be late.
 MIGRATION_MARGIN_SECONDS = 0.5
 SILENT_TIMEOUT_SECONDS = 0.25  # time for a newly connected client to send its request during a drain
+MIN_MIGRATION_SECONDS = 0.5  # time for the migrations, however long the background services take to leave
 LAMEDUCK_MIGRATION_SECONDS = 3.0  # time until all connections are migrated; operators require at most 4 s
 
 
@@ -60,6 +62,11 @@
         """The time by which every established connection has to be migrated."""
         return self.duration - MIGRATION_MARGIN_SECONDS
 
+    @property
+    def latest_migration(self) -> float:
+        """The time at which the migration begins, even if a background service has not left yet."""
+        return self.migration_deadline - MIN_MIGRATION_SECONDS
+
 
 class Lameduck:
     """Migrates all connections away while the process keeps running, by messages to the dispatcher."""
--- a/saltcourse/proxy/server.py
+++ b/saltcourse/proxy/server.py
@@ -72,7 +72,7 @@
     """The proxy with all other parts of its process.
 
     ``reread`` reads the configuration again on SIGHUP; without it, SIGHUP does not change the configuration.
-    ``gossip`` and ``background_services`` start when the proxy serves and leave before it drains, in that
+    ``gossip`` and ``background_services`` start when the proxy serves and leave while it drains, in that
     order.
     """
 
@@ -172,15 +172,10 @@
     async def run(self) -> None:
         """Serve until SIGTERM, drain, and return when all connections have ended or the drain time is over.
 
-        The drain, and its timeline, begins when the last background service has left, which is up to 1.2 s
-        after SIGTERM with a command announcer.
-
         Raises ``ListenError``.
         """
         await self.startup()
         await self.stop_requested.wait()
-        for service in self._background_services:
-            await service.leave()
         await self.drain()
         self.shutdown()
 
@@ -248,6 +243,7 @@
         self._lameduck.cancel()
         if self._peer_link_handover is not None:
             self._peer_link_handover.release()
+        leaving = loop.create_task(self._leave_services(), name="background services leaving")
         is_shared = self.config.listen_fd is not None
         was_lameduck = self.phase is Phase.LAMEDUCK
         self._enter(Phase.DRAINING)
@@ -255,6 +251,9 @@
             # The front load balancer still sends clients for a short time. On a shared listening socket, the
             # process that replaces this one accepts them, so this one stops accepting immediately.
             await asyncio.sleep(draining.FRONT_NOTICE_SECONDS)
+        if not is_shared:
+            # While a service announces this proxy's address, new clients and migrated ones still come here.
+            await asyncio.wait({leaving}, timeout=max(0.0, begin + timeline.latest_migration - loop.time()))
         self._enter(Phase.MIGRATING)
         self.listener.close(accept_backlog=not is_shared)
         # The migrations are spread over time, because the other proxies establish each connection again.
@@ -263,6 +262,11 @@
             answer_time_left = begin + timeline.answer_deadline - loop.time()
             client.opening.limit_for_shutdown(draining.SILENT_TIMEOUT_SECONDS, answer_time_left)
         await self._wait_for_clients(begin + timeline.duration)
+        await leaving
+
+    async def _leave_services(self) -> None:
+        for service in self._background_services:
+            await service.leave()
 
     async def _wait_for_clients(self, end: float) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/proxy/test_draining.py
+++ b/tests/proxy/test_draining.py
@@ -10,6 +10,8 @@
 import subprocess
 import sys
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 
@@ -22,6 +24,7 @@
     KILL_MARGIN_SECONDS,
     MAX_DEADLINE_SECONDS,
     MIGRATION_MARGIN_SECONDS,
+    MIN_MIGRATION_SECONDS,
     DrainTimeline,
 )
 from saltcourse.proxy.server import Phase
@@ -31,12 +34,15 @@
 from tests.proxy.running_proxy import (
     OPEN,
     SHORT,
+    RemoteClient,
     RunningProxy,
     expect_end_without_reset,
     send_ping,
     wait_until,
 )
 
+LONG = RequestClass("quick", latency_objective=0.1, deadline=1.5)
+
 pytestmark = pytest.mark.usefixtures("no_front_notice")
 
 
@@ -47,6 +53,7 @@
         assert timeline.duration == longest + KILL_MARGIN_SECONDS
         assert timeline.answer_deadline == timeline.duration - ANSWER_MARGIN_SECONDS
         assert timeline.migration_deadline == timeline.duration - MIGRATION_MARGIN_SECONDS
+        assert timeline.latest_migration == timeline.migration_deadline - MIN_MIGRATION_SECONDS
 
 
 @pytest.mark.parametrize(
@@ -239,3 +246,80 @@
                 os.kill(os.getpid(), number)
 
     asyncio.run(play())
+
+
+class SlowService:
+    """A background service that has left once the test sets ``may_leave``."""
+
+    def __init__(self) -> None:
+        self.may_leave = asyncio.Event()
+        self.is_leaving = False
+
+    async def start(self) -> None:
+        pass
+
+    async def leave(self) -> None:
+        self.is_leaving = True
+        await self.may_leave.wait()
+
+    def reload(self) -> None:
+        pass
+
+
+@asynccontextmanager
+async def proxy_with_slow_service() -> AsyncIterator[tuple[RunningProxy, SlowService]]:
+    service = SlowService()
+    async with RunningProxy(request_class=LONG) as proxy:
+        proxy.server._background_services.append(service)
+        try:
+            yield proxy, service
+        finally:
+            service.may_leave.set()
+
+
+async def establish(proxy: RunningProxy, request: str) -> RemoteClient:
+    client = await proxy.client(OPEN.format(900).replace(" a ", f" {request} "))
+    backend = await proxy.accept()
+    await backend.line()
+    await backend.send("UP 1", b"\r\n")
+    assert await client.line() == "UP 1"
+    return client
+
+
+def test_connections_are_moved_in_time_while_a_background_service_is_slow_to_leave() -> None:
+    """Guards against connections that are cut by SIGKILL.
+
+    The drain began, and its time counted, only when the operator's program had withdrawn the service address.
+    """
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        async with proxy_with_slow_service() as (proxy, service):
+            client = await establish(proxy, "first")
+            proxy.server.stop_requested.set()
+            stopped = loop.time()
+            await wait_until(lambda: service.is_leaving)
+            assert not proxy.server.ready()
+            late = await establish(proxy, "late")  # the address still leads here
+            async with asyncio.timeout(DrainTimeline.for_classes([LONG]).duration):
+                for each in (client, late):
+                    assert await each.line() == "MOVE"
+            assert loop.time() - stopped <= DrainTimeline.for_classes([LONG]).duration
+
+    asyncio.run(play())
+
+
+def test_nobody_is_moved_before_the_background_services_have_left() -> None:
+    """A client that is moved while the service address still leads here would come back to this proxy."""
+
+    async def play() -> None:
+        async with proxy_with_slow_service() as (proxy, service):
+            client = await establish(proxy, "first")
+            proxy.server.stop_requested.set()
+            await wait_until(lambda: service.is_leaving)
+            await asyncio.sleep(0.3)  # longer than the monitor's interval between checks
+            assert proxy.server.phase is Phase.DRAINING and not client.received
+            service.may_leave.set()
+            assert await client.line() == "MOVE"
+
+    asyncio.run(play())
